--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Front door to the build; CMake does the work.
+BUILD := build
+JOBS := $(shell nproc)
+SOURCES = $(shell git ls-files '*.cpp' '*.hpp')
+
+.PHONY: build packages check demo format format-check lint test clean
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+packages:
+	tools/install_packages
+
+check: build format-check lint test
+
+test:
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run --Werror $(SOURCES)
+
+lint:
+	tools/lint $(BUILD)
+
+demo: build
+	tools/demo
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/include/tarragonlock/common/diagnostic.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace tarragonlock
+{
+
+/// One fault in a file that an operator wrote.
+struct diagnostic
+{
+    std::string file;
+    /// Counted from 1; 0 when the fault has no line.
+    int line = 0;
+    /// Path of the key, such as "services[0].objective.p99_ms".
+    std::string key;
+    /// What is wrong and what would be right.
+    std::string text;
+
+    friend bool operator==(const diagnostic&, const diagnostic&) = default;
+};
+
+using diagnostics = std::vector<diagnostic>;
+
+/// @return "file:line: key: text"
+std::string to_string(const diagnostic& fault);
+
+} // namespace tarragonlock
--- /dev/null
+++ b/include/tarragonlock/common/mailbox.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "tarragonlock/common/time.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace tarragonlock
+{
+
+/// Unbounded queue through which one thread receives messages from others.
+template<class T>
+class mailbox
+{
+public:
+    /// Adds a message and wakes the owner.
+    void post(T message)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            messages_.push_back(std::move(message));
+        }
+        ready_.notify_one();
+    }
+
+    /// Waits for a message.
+    /// @param timeout  longest wait
+    /// @return the oldest message, or nothing when the time is up
+    std::optional<T> receive(duration timeout)
+    {
+        std::unique_lock lock(mutex_);
+        if (!ready_.wait_for(lock, timeout, [this] { return !messages_.empty(); }))
+            return std::nullopt;
+        T message = std::move(messages_.front());
+        messages_.pop_front();
+        return message;
+    }
+
+    /// Takes everything that has arrived, without waiting.
+    std::deque<T> drain()
+    {
+        const std::lock_guard lock(mutex_);
+        return std::exchange(messages_, {});
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable ready_;
+    std::deque<T> messages_;
+};
+
+} // namespace tarragonlock
--- /dev/null
+++ b/include/tarragonlock/connection/caller_server.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "tarragonlock/common/result.hpp"
+#include "tarragonlock/common/time.hpp"
+#include "tarragonlock/request/job.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace tarragonlock
+{
+
+/// What a caller asks for.
+struct caller_request
+{
+    enum class kind : std::uint8_t
+    {
+        submit,
+        submit_new, ///< the entry chooses the identifier
+        query,
+        cancel
+    };
+
+    kind what = kind::query;
+    submission job;
+    /// Longest time until the caller wants to hear, for queries.
+    duration wait{};
+    /// Bearer token; empty when none was sent.
+    std::string token;
+};
+
+/// What the entry's task answers; no reply means that the job is still in progress.
+struct caller_response
+{
+    std::string id;
+    std::optional<answer> reply;
+};
+
+/// The entry, as its HTTP front end sees it. Every function may be called from any thread.
+struct caller_backend
+{
+    /// Blocks until there is an answer.
+    std::function<caller_response(caller_request)> ask;
+    std::function<bool()> ready;
+    std::function<std::string()> metrics;
+    std::function<std::string()> status;
+    std::function<std::string(const std::string&)> describe_job;
+    /// Ends readiness and hands the entry's shards over.
+    std::function<void()> drain;
+};
+
+struct caller_server_options
+{
+    std::string listen;
+    std::uint32_t threads = 256;
+    std::size_t max_body_bytes = 4U << 20U;
+};
+
+/// HTTP front end of an entry; docs/API.md describes it.
+class caller_server
+{
+public:
+    /// @return the server, listening, or std::errc::address_in_use
+    static result<std::unique_ptr<caller_server>> open(const caller_server_options& options,
+                                                       caller_backend backend);
+    ~caller_server();
+    caller_server(const caller_server&) = delete;
+    caller_server& operator=(const caller_server&) = delete;
+
+    /// Takes no new connections and waits for requests in progress.
+    void stop();
+
+private:
+    class implementation;
+    explicit caller_server(std::unique_ptr<implementation> impl);
+    std::unique_ptr<implementation> impl_;
+};
+
+/// Parses the JSON body of a submission.
+/// @param text   the body
+/// @param job    receives the fields; its id stays as it is
+/// @param fault  receives what is wrong
+/// @return whether the body is well formed
+bool parse_submission(const std::string& text, submission& job, std::string& fault);
+
+/// @return the JSON text of an answer; pending when there is no reply yet.
+std::string render_answer(const caller_response& response);
+
+/// @return the fixed HTTP status of an answer.
+int http_status(const caller_response& response);
+
+} // namespace tarragonlock
--- /dev/null
+++ b/include/tarragonlock/process/agent_core.hpp
@@ -0,0 +1,196 @@
+#pragma once
+
+#include "tarragonlock/connection/message.hpp"
+#include "tarragonlock/request/start_records.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace tarragonlock
+{
+
+/// Mechanisms that a test may switch off to show that a proof depends on them.
+struct agent_mechanisms
+{
+    bool refuse_fenced_epochs = true;
+    bool refuse_stale_grants = true;
+    bool refuse_known_attempts = true;
+    bool refuse_older_config = true;
+};
+
+struct agent_options
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::string failure_domain;
+    /// Labels of the worker, joined with those that the backend server announces.
+    label_set labels;
+    /// Number of entries in the fleet's settings.
+    std::uint32_t entry_count = 1;
+    duration record_window = std::chrono::minutes(10);
+    std::size_t record_bytes = 64U << 20U;
+    /// Age at which a grant stamp no longer allows a start.
+    duration grant_lifetime = std::chrono::seconds(10);
+    duration heartbeat_interval = std::chrono::seconds(4);
+    /// Time for which slots offered to one entry are kept from the others.
+    duration offer_lifetime = std::chrono::milliseconds(20);
+    /// Time without an announcement after which the backend server counts as gone.
+    duration announcement_lifetime = std::chrono::seconds(3);
+    /// Longest time that results of a job with more tasks here wait to travel together.
+    duration result_delay = std::chrono::milliseconds(20);
+    agent_mechanisms mechanisms;
+};
+
+/// A backend server as it announces itself to the agent on its host.
+struct backend_announcement
+{
+    std::string service;
+    label_set labels;
+    std::string address;
+    std::uint32_t slots = 8;
+    friend bool operator==(const backend_announcement&, const backend_announcement&) = default;
+};
+
+/// Asks the shell to run one task on the backend server.
+struct run_task
+{
+    task_attempt attempt;
+    std::string address;
+    std::string body;
+    std::uint32_t timeout_ms = 0;
+};
+
+using agent_effect = std::variant<send_message, run_task>;
+
+/// Counters that /metrics shows.
+struct agent_counters
+{
+    std::uint64_t tasks_started = 0;
+    std::uint64_t tasks_succeeded = 0;
+    std::uint64_t tasks_failed = 0;
+    std::uint64_t starts_refused_fenced = 0;
+    std::uint64_t starts_refused_grant = 0;
+    std::uint64_t starts_refused_known = 0;
+    std::uint64_t starts_refused_config = 0;
+    std::uint64_t starts_refused_leaving = 0;
+    std::uint64_t messages_sent = 0;
+    std::uint64_t offers_unused = 0;
+};
+
+/// Every decision of an agent, without sockets, threads or clock: events and the time go in,
+/// effects come out.
+class agent_core
+{
+public:
+    explicit agent_core(agent_options options);
+
+    void on_entry_connected(instant now, const std::string& entry);
+    void on_entry_lost(instant now, const std::string& entry);
+    void on_message(instant now, const std::string& entry, const message& received);
+    void on_backend_announced(instant now, const backend_announcement& announcement);
+    void on_backend_leaving(instant now);
+    /// Takes the end of a task that run_task asked for.
+    void on_task_finished(instant now, const task_outcome& outcome);
+    void on_tick(instant now);
+    /// Starts a graceful shutdown: refuses new tasks and finishes those accepted.
+    void drain(instant now);
+
+    /// @return whether nothing runs, waits or is still to be delivered.
+    bool idle() const;
+    /// @return what is to be done, and forgets it.
+    std::vector<agent_effect> take_effects();
+
+    const agent_counters& counters() const { return counters_; }
+    const start_records& records() const { return records_; }
+    std::uint32_t running() const { return static_cast<std::uint32_t>(running_.size()); }
+    std::uint32_t queued() const { return queued_; }
+    bool has_backend() const { return backend_present_; }
+    std::uint64_t config_version() const { return config_version_; }
+
+private:
+    struct queued_task
+    {
+        task_attempt attempt;
+        std::string body;
+        instant deadline;
+        std::uint32_t shard = minted_shard;
+        std::uint64_t epoch = 0;
+    };
+
+    /// What the agent knows about one entry.
+    struct entry_view
+    {
+        bool connected = false;
+        /// The entry said that it has voted this agent's status valid: it answered an announcement.
+        std::uint32_t backlog = 0;
+        std::uint32_t offered = 0;
+        instant offer_expires;
+        instant last_sent;
+        std::uint64_t tasks_received = 0;
+        std::uint64_t result_sequence = 0;
+        std::deque<queued_task> queue;
+        std::uint32_t running = 0;
+        std::vector<task_outcome> outbox;
+        instant outbox_since;
+        std::deque<task_results> unacknowledged;
+    };
+
+    struct running_task
+    {
+        std::string owner;
+        instant started;
+    };
+
+    void handle(instant now, const std::string& entry, const start_tasks& batch);
+    void handle(instant now, const std::string& entry, const slot_request& request);
+    void handle(instant now, const std::string& entry, const cancel_jobs& request);
+    void handle(instant now, const std::string& entry, const query_tasks& request);
+    void handle(instant now, const std::string& entry, const fence_shards& request);
+    void handle(instant now, const std::string& entry, const entry_status& status);
+    template<class T>
+    void handle(instant, const std::string&, const T&)
+    {
+        // Messages between entries are not for agents.
+    }
+
+    bool may_start(instant now, const start_tasks& batch);
+    bool fenced(std::uint32_t shard, std::uint64_t epoch) const;
+    void start_queued(instant now);
+    entry_view* next_queue();
+    void launch(instant now, const std::string& owner, queued_task task);
+    void report(instant now, const std::string& entry, task_outcome outcome);
+    bool more_of_job(const std::string& job) const;
+    void flush(instant now, const std::string& entry, bool all);
+    void offer_slots(instant now);
+    void announce_to(instant now, const std::string& entry);
+    void announce_to_all(instant now);
+    worker_load load_for(instant now, entry_view& entry);
+    std::uint32_t free_slots() const;
+    std::uint32_t offered_to_others(instant now, const entry_view& entry);
+    void observe_config(std::uint64_t version);
+    void send(instant now, const std::string& entry, message body);
+    bool accepting() const { return backend_present_ && !leaving_; }
+
+    agent_options options_;
+    start_records records_;
+    std::map<std::string, entry_view> entries_;
+    absl::flat_hash_map<std::string, running_task> running_;
+    std::array<std::uint64_t, shard_count> fences_{};
+    backend_announcement backend_;
+    instant backend_heard_;
+    bool backend_present_ = false;
+    bool leaving_ = false;
+    std::uint32_t queued_ = 0;
+    std::uint32_t consecutive_failures_ = 0;
+    std::uint64_t config_version_ = 0;
+    std::vector<agent_effect> effects_;
+    agent_counters counters_;
+};
+
+} // namespace tarragonlock
--- /dev/null
+++ b/include/tarragonlock/process/daemon_main.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "tarragonlock/common/diagnostic.hpp"
+#include "tarragonlock/common/log.hpp"
+#include "tarragonlock/common/result.hpp"
+#include "tarragonlock/process/settings.hpp"
+
+#include <atomic>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+namespace tarragonlock
+{
+
+inline constexpr auto version_text = "tarragonlock 0.1.0";
+
+/// @return a flag that SIGTERM and SIGINT set; SIGPIPE is ignored.
+const std::atomic<bool>& stop_requested();
+
+/// Loads a settings file and runs a daemon with it.
+/// @param path        settings file
+/// @param only_check  whether to stop after checking the file
+/// @return the process's exit status: 0, or 2 for faulty settings, or 1 when it cannot start
+template<class Daemon, class Settings>
+int run_daemon(const std::string& path, bool only_check)
+{
+    const auto text = read_file(path);
+    if (!text)
+    {
+        std::cerr << path << ": " << text.error().message() << '\n';
+        return 2;
+    }
+    diagnostics faults;
+    const auto settings = Settings::parse(text.value(), path, faults);
+    for (const auto& fault : faults)
+        std::cerr << to_string(fault) << '\n';
+    if (!settings)
+        return 2;
+    if (only_check)
+        return EXIT_SUCCESS;
+    const auto& stop = stop_requested();
+    open_log(settings.value().name, settings.value().log.level,
+             settings.value().log.lines_per_second);
+    auto daemon = Daemon::create(settings.value());
+    if (!daemon)
+    {
+        log_event(log_level::error, "cannot_start", {{"error", daemon.error().message()}});
+        return EXIT_FAILURE;
+    }
+    daemon.value()->run(stop);
+    return EXIT_SUCCESS;
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/include/tarragonlock/request/job_registry.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "tarragonlock/connection/message.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tarragonlock
+{
+
+/// What an owner remembers about a job for the record window.
+struct registry_entry
+{
+    enum class state : std::uint8_t
+    {
+        running,  ///< in progress in this process's dispatcher
+        finished, ///< the answer is known
+        remote,   ///< in progress at the entry that handed the shard over
+        recovered ///< known only from agents' start records
+    };
+
+    state where = state::running;
+    std::uint64_t digest = 0;
+    answer reply;
+    /// For state::remote, the entry that runs the job.
+    std::string runner;
+    /// For state::recovered, the outcomes with the workers that reported them.
+    std::vector<std::pair<std::string, task_outcome>> outcomes;
+    std::uint32_t task_count = 0;
+    /// Results were dropped to stay within the memory bound.
+    bool results_dropped = false;
+    instant changed;
+};
+
+/// Jobs by identifier, kept for the record window.
+class job_registry
+{
+public:
+    job_registry(duration window, std::size_t max_result_bytes);
+
+    const registry_entry* find(const std::string& id) const;
+    void start(instant now, const std::string& id, std::uint64_t digest);
+    void finish(instant now, const answer& reply);
+    /// Forgets a job that was refused, so that the same id may be submitted again.
+    void forget(const std::string& id) { entries_.erase(id); }
+    void add_remote(instant now, const std::string& id, std::uint64_t digest,
+                    const std::string& runner);
+    /// Adds one agent's record; records of several agents about a job are joined.
+    void add_recovered(instant now, const std::string& worker, const start_record& record);
+    /// Notes an outcome of a job that is known from records only.
+    void add_outcome(instant now, const std::string& worker, const task_outcome& outcome);
+    /// @return records of all jobs in the shards, for a planned transfer.
+    std::vector<job_record> records_of(const std::vector<std::uint32_t>& shards) const;
+    void expire(instant now);
+
+    std::size_t size() const { return entries_.size(); }
+    std::size_t result_bytes() const { return result_bytes_; }
+
+private:
+    registry_entry& touch(instant now, const std::string& id);
+
+    duration window_;
+    std::size_t max_result_bytes_;
+    std::size_t result_bytes_ = 0;
+    absl::flat_hash_map<std::string, registry_entry> entries_;
+    std::deque<std::pair<instant, std::string>> by_age_;
+    /// Finished jobs in order of age, whose results are dropped first.
+    std::deque<std::string> with_results_;
+};
+
+} // namespace tarragonlock
--- /dev/null
+++ b/include/tarragonlock/request/placement.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "tarragonlock/common/result.hpp"
+#include "tarragonlock/connection/worker_directory.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace tarragonlock
+{
+
+/// What a placement decision knows about the task at hand.
+struct placement_request
+{
+    pool_index pool = 0;
+    /// Run time expected on a worker of slowness 1.
+    double expected_ms = 0.0;
+    /// Tasks that wait in the pool, this one included.
+    std::uint32_t waiting = 1;
+    /// Time until the job's tasks that already run are expected to end.
+    double job_runs_for_ms = 0.0;
+    /// Whether the task may serve as a probe of an ejected worker.
+    bool may_probe = false;
+};
+
+/// Chooses the worker for a task.
+class placement_strategy
+{
+public:
+    virtual ~placement_strategy() = default;
+
+    /// @return a worker, or nothing when the task is better left waiting.
+    virtual std::optional<worker_index> choose(const worker_directory& directory,
+                                               const placement_request& request) = 0;
+};
+
+/// Makes a strategy by its name in the settings: "earliest_finish", or one of the baselines
+/// "random", "round_robin" and "least_outstanding", which send every task at once.
+/// @return the strategy, or std::errc::invalid_argument for an unknown name
+result<std::unique_ptr<placement_strategy>> make_placement(std::string_view name);
+
+} // namespace tarragonlock
--- /dev/null
+++ b/include/tarragonlock/version/recovery.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "tarragonlock/connection/message.hpp"
+
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tarragonlock
+{
+
+struct recovery_options
+{
+    /// Longest wait for the answers of agents before serving without them.
+    duration wait = std::chrono::seconds(3);
+    /// Interval at which unanswered questions are asked again.
+    duration repeat = std::chrono::milliseconds(500);
+    std::size_t majority = 1;
+};
+
+/// One recovery of shards from the start records of the agents.
+///
+/// It asks the entries which workers there are, fences every one of them, and collects their
+/// records. Workers that don't answer leave the shards uncertain: a job without a record may have
+/// been started by them.
+class recovery
+{
+public:
+    recovery(recovery_options options, instant now, std::uint64_t request,
+             std::uint64_t table_version, std::vector<shard_epoch> shards);
+
+    /// Starts asking.
+    /// @param entries    the other entries
+    /// @param own_known  workers that this entry knows of, and for how long it has
+    void begin(instant now, const std::vector<std::string>& entries,
+               const std::vector<process_id>& own_known, duration known_for);
+    void on_worker_list(const std::string& from, const worker_list_reply& reply);
+    /// A worker announced itself; it is fenced if it has not been.
+    void on_worker_connected(const process_id& worker);
+    void on_fence_reply(const std::string& worker, const fence_reply& reply);
+    void on_tick(instant now);
+
+    /// @return whether shards may be served as far as records go.
+    bool ready(instant now) const;
+    /// @return whether every worker that may hold records has answered.
+    bool complete() const;
+    /// @return the least time for which a majority has been collecting workers; jobs submitted
+    ///         before that are uncertain.
+    duration known_for() const;
+
+    std::uint64_t request() const { return request_; }
+    std::uint64_t table_version() const { return table_version_; }
+    instant started() const { return started_; }
+    const std::vector<shard_epoch>& shards() const { return shards_; }
+    bool covers(std::uint32_t shard) const;
+    /// @return records that came since the last call, each with its worker's name.
+    std::vector<std::pair<std::string, start_record>> take_records()
+    {
+        return std::exchange(records_, {});
+    }
+    std::vector<send_message> take_messages() { return std::exchange(messages_, {}); }
+
+private:
+    void expect(const process_id& worker);
+    void ask(const std::string& worker);
+
+    recovery_options options_;
+    instant started_;
+    instant asked_;
+    std::uint64_t request_;
+    std::uint64_t table_version_;
+    std::vector<shard_epoch> shards_;
+    std::set<std::string> entries_to_ask_;
+    std::vector<duration> known_for_;
+    std::set<process_id> expected_;
+    std::set<process_id> answered_;
+    std::vector<std::pair<std::string, start_record>> records_;
+    std::vector<send_message> messages_;
+};
+
+} // namespace tarragonlock
--- /dev/null
+++ b/include/tarragonlock/version/shard_table.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tarragonlock
+{
+
+/// Parts into which job identifiers are divided. Fixed: a change would move identifiers.
+inline constexpr std::uint32_t shard_count = 64;
+/// Stands for identifiers that an entry minted: they stay with it and have no shard.
+inline constexpr std::uint32_t minted_shard = shard_count;
+
+/// A shard and the number of its current ownership.
+struct shard_epoch
+{
+    std::uint32_t shard = 0;
+    std::uint64_t epoch = 0;
+    friend auto operator<=>(const shard_epoch&, const shard_epoch&) = default;
+};
+
+/// Who owns a shard. An owner is one incarnation of an entry.
+struct shard_owner
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::uint64_t epoch = 0;
+    friend auto operator<=>(const shard_owner&, const shard_owner&) = default;
+};
+
+/// Ownership of all shards; one versioned value in the key-value service.
+struct shard_table
+{
+    std::uint64_t version = 0;
+    std::vector<shard_owner> owners;
+    friend bool operator==(const shard_table&, const shard_table&) = default;
+};
+
+/// @return the shard of a job identifier, the same on every process.
+std::uint32_t shard_of(std::string_view job_id);
+
+/// Chooses the new owner of a shard by rendezvous hashing.
+/// @param candidates  names of live entries; not empty
+/// @return the index of the chosen candidate
+std::size_t rendezvous_owner(std::uint32_t shard, const std::vector<std::string>& candidates);
+
+} // namespace tarragonlock
--- /dev/null
+++ b/include/tarragonlock/version/store_client.hpp
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "tarragonlock/common/result.hpp"
+#include "tarragonlock/common/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace tarragonlock
+{
+
+/// Why a call to the key-value service failed.
+enum class store_error
+{
+    unreachable = 1, ///< no answer; the call may or may not have taken effect
+    bad_answer,      ///< an answer that is not understood
+    refused          ///< the service answered with an error
+};
+
+std::error_code make_error_code(store_error error);
+
+/// A key with its value and the revision of its last change.
+struct store_item
+{
+    std::string key;
+    std::string value;
+    std::int64_t revision = 0;
+    friend bool operator==(const store_item&, const store_item&) = default;
+};
+
+/// Everything under the prefix, read at one moment.
+struct store_snapshot
+{
+    std::vector<store_item> items;
+};
+
+/// One key changed; no value means that it was deleted or that its lease lapsed.
+struct store_change
+{
+    std::string key;
+    std::optional<store_item> item;
+};
+
+/// The watch ended; what follows begins with a new snapshot.
+struct store_lost
+{
+};
+
+/// Outcome of swap; in doubt means that no answer came.
+struct swap_result
+{
+    std::uint64_t request = 0;
+    bool in_doubt = false;
+    bool swapped = false;
+    std::int64_t revision = 0;
+    /// What the key holds, when it was not swapped.
+    std::optional<store_item> current;
+};
+
+using store_event = std::variant<store_snapshot, store_change, store_lost, swap_result>;
+
+struct store_options
+{
+    /// Addresses of the key-value service, as host:port; tried in turn.
+    std::vector<std::string> addresses;
+    std::string prefix = "tarragonlock/";
+    duration timeout = std::chrono::seconds(2);
+    duration retry_interval = std::chrono::milliseconds(500);
+    duration lease_time = std::chrono::seconds(5);
+};
+
+/// Single calls to the key-value service, through etcd's JSON mapping.
+class store_connection
+{
+public:
+    explicit store_connection(store_options options);
+    ~store_connection();
+    store_connection(const store_connection&) = delete;
+    store_connection& operator=(const store_connection&) = delete;
+
+    /// @return everything under the prefix with the service's revision, or a store_error.
+    result<std::pair<store_snapshot, std::int64_t>> read_all();
+    /// Replaces a value if the key's revision is the expected one (0: the key does not exist).
+    result<swap_result> swap(const std::string& key, std::int64_t expected_revision,
+                             const std::string& value);
+    result<std::int64_t> grant_lease();
+    /// @return whether the lease still lives.
+    result<bool> keep_lease(std::int64_t lease);
+    result<bool> revoke_lease(std::int64_t lease);
+    result<bool> put(const std::string& key, const std::string& value, std::int64_t lease);
+    /// Reads changes after a revision until the stream breaks or on_change returns false.
+    void watch(std::int64_t after_revision, const std::function<bool(store_change)>& on_change);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+/// Keeps a process in touch with the key-value service from tasks of its own: one watches, one
+/// swaps and keeps the process registered under a lease.
+class store_client
+{
+public:
+    using sink = std::function<void(store_event)>;
+
+    store_client(store_options options, sink on_event);
+    ~store_client();
+    store_client(const store_client&) = delete;
+    store_client& operator=(const store_client&) = delete;
+
+    /// Replaces a value; the outcome comes as swap_result with this request number.
+    void swap(std::uint64_t request, const std::string& key, std::int64_t expected_revision,
+              const std::string& value);
+    /// Keeps a key in place under a lease until unregister or the end of the process.
+    void keep_registered(const std::string& key, const std::string& value);
+    void unregister();
+    /// @return calls made so far, a watch counting once for each time it was opened.
+    std::uint64_t calls() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+} // namespace tarragonlock
+
+template<>
+struct std::is_error_code_enum<tarragonlock::store_error> : std::true_type
+{
+};
--- /dev/null
+++ b/programs/control/commands.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <docopt/docopt.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace tarragonlock::control
+{
+
+using arguments = std::map<std::string, docopt::value>;
+
+/// Exit statuses, as the help text lists them.
+enum class exit_status : int
+{
+    done = 0,
+    failed = 1,
+    usage = 2,
+    conflict = 3,
+    unreachable = 4,
+    differs = 5
+};
+
+/// Runs the command that the arguments name. @return the exit status
+int run(const arguments& given);
+
+/// @return the addresses of a comma-separated list.
+std::vector<std::string> addresses_in(const docopt::value& text);
+
+exit_status report(const arguments& given);
+
+} // namespace tarragonlock::control
--- /dev/null
+++ b/programs/control/report.cpp
@@ -0,0 +1,157 @@
+#include "commands.hpp"
+#include "status_client.hpp"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <tuple>
+
+namespace tarragonlock::control
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// Sums of all entries for one service, team and urgency.
+struct level
+{
+    double objective_ms = 0;
+    double target = 0;
+    double total_short = 0;
+    double good_short = 0;
+    double total_long = 0;
+    double good_long = 0;
+    /// The largest of the entries', since quantiles don't add up.
+    double p50_ms = 0;
+    double p99_ms = 0;
+
+    static double burn(double total, double good, double target)
+    {
+        return total > 0 ? (total - good) / total / (1.0 - target) : 0.0;
+    }
+    double burn_short() const { return burn(total_short, good_short, target); }
+    double burn_long() const { return burn(total_long, good_long, target); }
+    double budget_left() const { return std::max(0.0, 1.0 - burn_long()); }
+};
+
+using level_map = std::map<std::tuple<std::string, std::string, int>, level>;
+
+level_map sum_levels(const std::vector<json>& fleet)
+{
+    level_map levels;
+    for (const auto& entry : fleet)
+    {
+        for (const auto& item : entry.at("levels"))
+        {
+            auto& sum = levels[{item.at("service"), item.at("team"), item.at("urgency")}];
+            sum.objective_ms = item.at("objective_ms");
+            sum.target = item.at("target");
+            sum.total_short += item.at("last_5_minutes").at("total").get<double>();
+            sum.good_short += item.at("last_5_minutes").at("good").get<double>();
+            sum.total_long += item.at("last_hour").at("total").get<double>();
+            sum.good_long += item.at("last_hour").at("good").get<double>();
+            sum.p50_ms = std::max(sum.p50_ms, item.at("p50_ms").get<double>());
+            sum.p99_ms = std::max(sum.p99_ms, item.at("p99_ms").get<double>());
+        }
+    }
+    return levels;
+}
+
+std::string terminal_table(const level_map& levels)
+{
+    auto text = fmt::format("{:<14} {:<12} {:>7} {:>12} {:>8} {:>9} {:>9} {:>11} {:>8} {:>8}\n",
+                            "SERVICE", "TEAM", "URGENCY", "OBJECTIVE", "ANSWERS", "BURN 5m",
+                            "BURN 1h", "BUDGET LEFT", "P50 ms", "P99 ms");
+    for (const auto& [key, level] : levels)
+        text += fmt::format(
+            "{:<14} {:<12} {:>7} {:>6.2f}%<{:>4.0f} {:>8.0f} {:>9.2f} {:>9.2f} {:>10.1f}% {:>8.0f} "
+            "{:>8.0f}\n",
+            std::get<0>(key), std::get<1>(key), std::get<2>(key), level.target * 100,
+            level.objective_ms, level.total_long, level.burn_short(), level.burn_long(),
+            level.budget_left() * 100, level.p50_ms, level.p99_ms);
+    return text;
+}
+
+std::string escape(const std::string& text)
+{
+    std::string escaped;
+    for (const char c : text)
+        escaped += c == '<' ? "&lt;" : c == '&' ? "&amp;" : std::string(1, c);
+    return escaped;
+}
+
+/// A bar whose full length stands for a burn rate of 10.
+std::string bar(double burn)
+{
+    constexpr double full_width = 200.0;
+    constexpr double full_burn = 10.0;
+    const double width = std::min(full_width, burn / full_burn * full_width);
+    const char* color = burn > 1.0 ? "#c0392b" : "#27ae60";
+    return fmt::format("<svg width=\"200\" height=\"12\"><rect width=\"{:.0f}\" height=\"12\" "
+                       "fill=\"{}\"/></svg> {:.2f}",
+                       width, color, burn);
+}
+
+std::string html_page(const level_map& levels)
+{
+    std::string rows;
+    for (const auto& [key, level] : levels)
+        rows += fmt::format("<tr><td>{}</td><td>{}</td><td>{}</td><td>{:.2f}% within {:.0f} ms</td>"
+                            "<td>{:.0f}</td><td>{}</td><td>{}</td><td>{:.1f}%</td><td>{:.0f}</td>"
+                            "<td>{:.0f}</td></tr>\n",
+                            escape(std::get<0>(key)), escape(std::get<1>(key)), std::get<2>(key),
+                            level.target * 100, level.objective_ms, level.total_long,
+                            bar(level.burn_short()), bar(level.burn_long()),
+                            level.budget_left() * 100, level.p50_ms, level.p99_ms);
+    return "<!doctype html><meta charset=\"utf-8\"><title>Service-level burn</title>"
+           "<style>body{font-family:sans-serif}td,th{padding:4px 10px;text-align:left}"
+           "tr:nth-child(even){background:#f4f4f4}</style><h1>Service-level burn</h1>"
+           "<p>A burn rate of 1 uses the error budget up exactly at the objective's pace.</p>"
+           "<table><tr><th>Service<th>Team<th>Urgency<th>Objective<th>Answers<th>Burn, 5 minutes"
+           "<th>Burn, 1 hour<th>Budget left<th>p50 ms<th>p99 ms</tr>" +
+           rows + "</table>\n";
+}
+
+json to_json(const level_map& levels)
+{
+    auto all = json::array();
+    for (const auto& [key, level] : levels)
+        all.push_back({{"service", std::get<0>(key)},
+                       {"team", std::get<1>(key)},
+                       {"urgency", std::get<2>(key)},
+                       {"burn_5_minutes", level.burn_short()},
+                       {"burn_hour", level.burn_long()},
+                       {"budget_left", level.budget_left()},
+                       {"answers", level.total_long},
+                       {"p50_ms", level.p50_ms},
+                       {"p99_ms", level.p99_ms}});
+    return all;
+}
+
+} // namespace
+
+exit_status report(const arguments& given)
+{
+    const auto fleet = fetch_status(addresses_in(given.at("--entries")));
+    if (fleet.empty())
+    {
+        std::cerr << "no entry answers\n";
+        return exit_status::unreachable;
+    }
+    const auto levels = sum_levels(fleet);
+    if (given.at("--json").asBool())
+        std::cout << to_json(levels).dump() << '\n';
+    else
+        std::cout << terminal_table(levels);
+    if (given.at("--html"))
+        std::ofstream(given.at("--html").asString()) << html_page(levels);
+    return exit_status::done;
+}
+
+} // namespace tarragonlock::control
--- /dev/null
+++ b/programs/control/status_client.cpp
@@ -0,0 +1,122 @@
+#include "status_client.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <map>
+
+namespace tarragonlock::control
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+httplib::Client connect(const std::string& address)
+{
+    httplib::Client client("http://" + address);
+    client.set_connection_timeout(2);
+    client.set_read_timeout(5);
+    return client;
+}
+
+/// The newest version that any entry has heard of from each worker.
+std::map<std::string, std::int64_t> worker_versions(const std::vector<json>& fleet)
+{
+    std::map<std::string, std::int64_t> versions;
+    for (const auto& entry : fleet)
+    {
+        for (const auto& worker : entry.at("workers"))
+        {
+            if (!worker.at("connected").get<bool>())
+                continue;
+            auto& version = versions[worker.at("name").get<std::string>()];
+            version = std::max(version, worker.at("config_version").get<std::int64_t>());
+        }
+    }
+    return versions;
+}
+
+} // namespace
+
+std::optional<std::string> fetch(const std::string& address, const std::string& path)
+{
+    auto client = connect(address);
+    const auto answer = client.Get(path);
+    if (!answer || answer->status != 200)
+        return std::nullopt;
+    auto body = answer->body;
+    while (!body.empty() && body.back() == '\n')
+        body.pop_back();
+    return body;
+}
+
+std::vector<json> fetch_status(const std::vector<std::string>& entries)
+{
+    std::vector<json> fleet;
+    for (const auto& address : entries)
+    {
+        const auto body = fetch(address, "/v1/status");
+        auto parsed = body ? json::parse(*body, nullptr, false) : json(json::value_t::discarded);
+        if (!parsed.is_discarded())
+            fleet.push_back(std::move(parsed));
+    }
+    return fleet;
+}
+
+std::string render_status(const std::vector<json>& fleet)
+{
+    std::string text = fmt::format("{:<12} {:<10} {:>5} {:>7} {:>6} {:>6} {:>8} {:>7}\n", "ENTRY",
+                                   "DOMAIN", "READY", "VERSION", "LEASE", "SHARDS", "JOBS", "WAIT");
+    for (const auto& entry : fleet)
+        text += fmt::format(
+            "{:<12} {:<10} {:>5} {:>7} {:>6} {:>6} {:>8} {:>7}\n",
+            entry.at("entry").get<std::string>(), entry.at("failure_domain").get<std::string>(),
+            entry.at("ready").get<bool>() ? "yes" : "no",
+            entry.at("config_version").get<std::int64_t>(),
+            entry.at("holds_lease").get<bool>() ? "yes" : "no", entry.at("shards").get<int>(),
+            entry.at("jobs_in_progress").get<int>(), entry.at("tasks_waiting").get<int>());
+    if (fleet.empty())
+        return text;
+    text += fmt::format("\n{:<12} {:<12} {:>5} {:>5} {:>8} {:>8} {}\n", "WORKER", "SERVICE",
+                        "SLOTS", "FREE", "SLOWNESS", "VERSION", "STATE");
+    for (const auto& worker : fleet.front().at("workers"))
+    {
+        const char* state = !worker.at("connected").get<bool>() ? "lost"
+                            : worker.at("leaving").get<bool>()  ? "leaving"
+                            : worker.at("ejected").get<bool>()  ? "ejected"
+                                                                : "ok";
+        text += fmt::format("{:<12} {:<12} {:>5} {:>5} {:>8.2f} {:>8} {}\n",
+                            worker.at("name").get<std::string>(),
+                            worker.at("service").get<std::string>(), worker.at("slots").get<int>(),
+                            worker.at("free_slots").get<int>(), worker.at("slowness").get<double>(),
+                            worker.at("config_version").get<std::int64_t>(), state);
+    }
+    return text;
+}
+
+std::pair<std::size_t, std::size_t> processes_running(const std::vector<std::string>& entries,
+                                                      std::int64_t version)
+{
+    const auto fleet = fetch_status(entries);
+    const auto workers = worker_versions(fleet);
+    const auto entries_there =
+        std::count_if(fleet.begin(), fleet.end(),
+                      [&](const json& entry) { return entry.at("config_version") >= version; });
+    const auto workers_there = std::count_if(workers.begin(), workers.end(),
+                                             [&](const auto& w) { return w.second >= version; });
+    return {static_cast<std::size_t>(entries_there + workers_there),
+            entries.size() + workers.size()};
+}
+
+bool request_drain(const std::string& address)
+{
+    auto client = connect(address);
+    const auto answer = client.Put("/v1/drain", "", "text/plain");
+    return answer && answer->status == 200;
+}
+
+} // namespace tarragonlock::control
--- /dev/null
+++ b/src/common/log.cpp
@@ -0,0 +1,103 @@
+#include "tarragonlock/common/log.hpp"
+
+#include "tarragonlock/common/time.hpp"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <map>
+#include <mutex>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+/// Lines of one event in the present second.
+struct event_rate
+{
+    std::int64_t second = 0;
+    std::uint32_t lines = 0;
+    std::uint32_t left_out = 0;
+};
+
+struct log_state
+{
+    std::mutex mutex;
+    std::string process;
+    std::uint32_t lines_per_second = 50;
+    std::map<std::string, event_rate, std::less<>> rates;
+    std::shared_ptr<spdlog::logger> logger;
+};
+
+log_state& state()
+{
+    static log_state instance;
+    return instance;
+}
+
+spdlog::level::level_enum to_spdlog(log_level level)
+{
+    switch (level)
+    {
+    case log_level::debug:
+        return spdlog::level::debug;
+    case log_level::info:
+        return spdlog::level::info;
+    case log_level::warn:
+        return spdlog::level::warn;
+    case log_level::error:
+        return spdlog::level::err;
+    }
+    return spdlog::level::info;
+}
+
+} // namespace
+
+void open_log(const std::string& process, std::string_view level, std::uint32_t lines_per_second)
+{
+    auto& log = state();
+    const std::lock_guard lock(log.mutex);
+    log.process = process;
+    log.lines_per_second = lines_per_second;
+    log.logger = spdlog::stdout_logger_mt("json");
+    log.logger->set_pattern("%v");
+    log.logger->set_level(spdlog::level::from_str(level == "error" ? "err" : std::string(level)));
+    log.logger->flush_on(spdlog::level::info);
+}
+
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    auto& log = state();
+    const std::lock_guard lock(log.mutex);
+    if (!log.logger || !log.logger->should_log(to_spdlog(level)))
+        return;
+    const auto now = wall_clock_now();
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(now).count();
+    auto& rate = log.rates[std::string(event)];
+    if (rate.second != second)
+    {
+        rate.second = second;
+        rate.lines = 0;
+    }
+    if (++rate.lines > log.lines_per_second)
+    {
+        ++rate.left_out;
+        return;
+    }
+    nlohmann::ordered_json line;
+    line["time_ms"] = now.count();
+    line["level"] = spdlog::level::to_string_view(to_spdlog(level)).data();
+    line["process"] = log.process;
+    line["event"] = std::string(event);
+    for (const auto& [key, value] : fields)
+        std::visit([&, name = std::string(key)](const auto& v) { line[name] = v; }, value);
+    if (const auto left_out = std::exchange(rate.left_out, 0))
+        line["left_out"] = left_out;
+    log.logger->log(to_spdlog(level),
+                    line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/connection/caller_server.cpp
@@ -0,0 +1,171 @@
+#include "tarragonlock/connection/caller_server.hpp"
+
+#include "connection/http_server.hpp"
+#include "tarragonlock/request/job_id.hpp"
+
+#include <charconv>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+constexpr auto most_wait = std::chrono::milliseconds(600'000);
+
+/// @return the wait_ms parameter, or the fallback when it is absent or malformed.
+duration wait_of(const httplib::Request& request, duration fallback)
+{
+    if (!request.has_param("wait_ms"))
+        return fallback;
+    const auto text = request.get_param_value("wait_ms");
+    std::uint32_t milliseconds = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    if (error != std::errc() || end != text.data() + text.size())
+        return fallback;
+    return std::min<duration>(std::chrono::milliseconds(milliseconds), most_wait);
+}
+
+std::string bearer_token(const httplib::Request& request)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    auto header = request.get_header_value("Authorization");
+    return header.starts_with(scheme) ? header.substr(scheme.size()) : std::string();
+}
+
+void write_response(httplib::Response& response, const caller_response& answered)
+{
+    response.status = http_status(answered);
+    response.set_content(render_answer(answered), "application/json");
+    if (answered.reply && answered.reply->retry_after_ms > 0)
+    {
+        const auto seconds = (answered.reply->retry_after_ms + 999) / 1000;
+        response.set_header("Retry-After", std::to_string(seconds));
+    }
+}
+
+void write_fault(httplib::Response& response, const std::string& id, const std::string& fault)
+{
+    caller_response refused{id, answer{id, outcome::refused, reason::invalid_request, {}, 0}};
+    write_response(response, refused);
+    auto body = render_answer(refused);
+    body.pop_back();
+    std::string escaped;
+    for (const char c : fault)
+        escaped += c == '"' || c == '\\' ? ' ' : c;
+    response.set_content(body + ",\"detail\":\"" + escaped + "\"}", "application/json");
+}
+
+} // namespace
+
+class caller_server::implementation
+{
+public:
+    implementation(const caller_server_options& options, caller_backend backend)
+        : backend_(std::move(backend)), server_(options.threads, options.max_body_bytes)
+    {
+        auto& routes = server_.routes();
+        const std::string job = R"(/v1/jobs/([^/]+))";
+        // Bodies are read by a content reader, because httplib limits the bodies of clients that
+        // call everything a form, as curl does, to 8 KB.
+        routes.Put(job, [this](const auto& request, auto& response, const auto& reader)
+                   { submit(request, response, request.matches[1].str(), reader); });
+        routes.Post("/v1/jobs", [this](const auto& request, auto& response, const auto& reader)
+                    { submit(request, response, "", reader); });
+        routes.Get(job, [this](const auto& request, auto& response)
+                   { control(request, response, caller_request::kind::query); });
+        routes.Delete(job, [this](const auto& request, auto& response)
+                      { control(request, response, caller_request::kind::cancel); });
+        routes.Get("/readyz",
+                   [this](const auto&, auto& response)
+                   {
+                       const bool ready = backend_.ready();
+                       response.status = ready ? 200 : 503;
+                       response.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
+                   });
+        routes.Get("/metrics", [this](const auto&, auto& response)
+                   { response.set_content(backend_.metrics(), "text/plain; version=0.0.4"); });
+        routes.Get("/v1/status", [this](const auto&, auto& response)
+                   { response.set_content(backend_.status(), "application/json"); });
+        routes.Put("/v1/drain",
+                   [this](const auto&, auto& response)
+                   {
+                       backend_.drain();
+                       response.set_content("{}", "application/json");
+                   });
+        routes.Get(R"(/v1/status/jobs/([^/]+))",
+                   [this](const auto& request, auto& response) {
+                       response.set_content(backend_.describe_job(request.matches[1].str()) + "\n",
+                                            "text/plain");
+                   });
+    }
+
+    bool start(const std::string& listen) { return server_.start(listen); }
+    void stop() { server_.stop(); }
+
+private:
+    void submit(const httplib::Request& request, httplib::Response& response, const std::string& id,
+                const httplib::ContentReader& reader)
+    {
+        std::string body;
+        const bool whole = reader(
+            [&](const char* data, std::size_t size)
+            {
+                body.append(data, size);
+                return true;
+            });
+        if (!whole)
+        {
+            write_fault(response, id, "the body is too large or incomplete");
+            response.status = 413;
+            return;
+        }
+        if (!id.empty() && !is_valid_job_id(id))
+            return write_fault(response, "", "the id may hold 1 to 96 of A-Z a-z 0-9 . _ -");
+        caller_request asked;
+        asked.what = id.empty() ? caller_request::kind::submit_new : caller_request::kind::submit;
+        asked.job.id = id;
+        asked.token = bearer_token(request);
+        std::string fault;
+        if (!parse_submission(body, asked.job, fault))
+            return write_fault(response, id, fault);
+        asked.wait = wait_of(request, most_wait);
+        write_response(response, backend_.ask(std::move(asked)));
+    }
+
+    void control(const httplib::Request& request, httplib::Response& response,
+                 caller_request::kind what)
+    {
+        const auto id = request.matches[1].str();
+        if (!is_valid_job_id(id))
+            return write_fault(response, "", "the id may hold 1 to 96 of A-Z a-z 0-9 . _ -");
+        caller_request asked;
+        asked.what = what;
+        asked.job.id = id;
+        asked.wait = wait_of(request, duration(0));
+        write_response(response, backend_.ask(std::move(asked)));
+    }
+
+    caller_backend backend_;
+    http_server server_;
+};
+
+caller_server::caller_server(std::unique_ptr<implementation> impl) : impl_(std::move(impl)) {}
+
+caller_server::~caller_server() = default;
+
+result<std::unique_ptr<caller_server>> caller_server::open(const caller_server_options& options,
+                                                           caller_backend backend)
+{
+    auto impl = std::make_unique<implementation>(options, std::move(backend));
+    if (!impl->start(options.listen))
+        return std::make_error_code(std::errc::address_in_use);
+    return std::unique_ptr<caller_server>(new caller_server(std::move(impl)));
+}
+
+void caller_server::stop()
+{
+    impl_->stop();
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/connection/codec.cpp
@@ -0,0 +1,175 @@
+#include "tarragonlock/connection/codec.hpp"
+
+#include "connection/bounded_archive.hpp"
+
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+class codec_category : public std::error_category
+{
+public:
+    const char* name() const noexcept override { return "tarragonlock.codec"; }
+    std::string message(int value) const override
+    {
+        switch (static_cast<codec_error>(value))
+        {
+        case codec_error::truncated:
+            return "message is truncated";
+        case codec_error::unknown_type:
+            return "message type is unknown";
+        case codec_error::unknown_version:
+            return "message version is unknown";
+        case codec_error::oversized:
+            return "message is too long";
+        case codec_error::trailing_bytes:
+            return "bytes follow the message";
+        }
+        return "unknown codec error";
+    }
+};
+
+} // namespace
+
+std::error_code make_error_code(codec_error error)
+{
+    static const codec_category category;
+    return {static_cast<int>(error), category};
+}
+
+// Field lists, one a type, in the order of declaration. message_version changes with any of them.
+#define TARRAGONLOCK_FIELDS(type, ...)                                                             \
+    template<class Archive>                                                                        \
+    void serialize(Archive& archive, type& v)                                                      \
+    {                                                                                              \
+        archive(__VA_ARGS__);                                                                      \
+    }
+
+TARRAGONLOCK_FIELDS(process_id, v.name, v.incarnation)
+TARRAGONLOCK_FIELDS(hello, v.process, v.address)
+TARRAGONLOCK_FIELDS(task_attempt, v.job, v.index, v.attempt)
+TARRAGONLOCK_FIELDS(shard_epoch, v.shard, v.epoch)
+TARRAGONLOCK_FIELDS(shard_owner, v.name, v.incarnation, v.epoch)
+TARRAGONLOCK_FIELDS(shard_table, v.version, v.owners)
+TARRAGONLOCK_FIELDS(task_input, v.body, v.declared_ms)
+TARRAGONLOCK_FIELDS(submission, v.id, v.service, v.team, v.labels, v.tasks, v.deadline_ms,
+                    v.idempotent)
+TARRAGONLOCK_FIELDS(answer, v.id, v.outcome, v.reason, v.results, v.retry_after_ms)
+TARRAGONLOCK_FIELDS(entry_beat, v.sequence, v.incarnation, v.table_version, v.config_version,
+                    v.leaving)
+TARRAGONLOCK_FIELDS(entry_beat_ack, v.sequence, v.incarnation, v.table_version, v.refused,
+                    v.older_leases_over)
+TARRAGONLOCK_FIELDS(worker_list_request, v.request)
+TARRAGONLOCK_FIELDS(worker_list_reply, v.request, v.known_for_ms, v.workers)
+TARRAGONLOCK_FIELDS(table_update, v.table)
+TARRAGONLOCK_FIELDS(config_update, v.version, v.document)
+TARRAGONLOCK_FIELDS(forward_submit, v.request, v.job)
+TARRAGONLOCK_FIELDS(forward_answer, v.request, v.pending, v.reply)
+TARRAGONLOCK_FIELDS(forward_control, v.request, v.job, v.query, v.wait_ms)
+TARRAGONLOCK_FIELDS(job_record, v.id, v.digest, v.finished, v.reply)
+TARRAGONLOCK_FIELDS(handover, v.table_version, v.shards, v.records)
+TARRAGONLOCK_FIELDS(task_start, v.index, v.attempt, v.body)
+TARRAGONLOCK_FIELDS(start_tasks, v.job, v.service, v.digest, v.task_count, v.shard, v.epoch,
+                    v.config_version, v.grant_stamp, v.deadline_ms, v.backlog, v.tasks)
+TARRAGONLOCK_FIELDS(slot_request, v.service, v.backlog)
+TARRAGONLOCK_FIELDS(cancel_jobs, v.jobs)
+TARRAGONLOCK_FIELDS(query_tasks, v.tasks)
+TARRAGONLOCK_FIELDS(fence_shards, v.request, v.shards)
+TARRAGONLOCK_FIELDS(entry_status, v.config_version, v.results_through, v.leaving)
+TARRAGONLOCK_FIELDS(worker_load, v.free_slots, v.queued, v.grant_stamp, v.tasks_received,
+                    v.consecutive_failures, v.config_version)
+TARRAGONLOCK_FIELDS(announce, v.incarnation, v.service, v.labels, v.failure_domain, v.slots,
+                    v.leaving, v.load)
+TARRAGONLOCK_FIELDS(task_outcome, v.job, v.index, v.attempt, v.status, v.run_ms, v.body)
+TARRAGONLOCK_FIELDS(task_results, v.sequence, v.outcomes, v.load)
+TARRAGONLOCK_FIELDS(load_report, v.incarnation, v.load)
+TARRAGONLOCK_FIELDS(query_reply, v.outcomes, v.load)
+TARRAGONLOCK_FIELDS(start_record, v.job, v.digest, v.task_count, v.tasks)
+TARRAGONLOCK_FIELDS(fence_reply, v.request, v.incarnation, v.last, v.records)
+
+#undef TARRAGONLOCK_FIELDS
+
+namespace
+{
+
+template<class T>
+result<T> decode_value(std::string_view bytes)
+{
+    if (bytes.size() > max_message_bytes)
+        return make_error_code(codec_error::oversized);
+    if (bytes.empty())
+        return make_error_code(codec_error::truncated);
+    if (static_cast<std::uint8_t>(bytes.front()) != message_version)
+        return make_error_code(codec_error::unknown_version);
+    bounded_input_archive archive(bytes.substr(1));
+    T value;
+    try
+    {
+        archive(value);
+    }
+    catch (const truncated_input&)
+    {
+        return make_error_code(codec_error::truncated);
+    }
+    catch (const std::exception&)
+    {
+        // cereal's own complaint: a variant index out of range.
+        return make_error_code(codec_error::unknown_type);
+    }
+    if (archive.remaining() != 0)
+        return make_error_code(codec_error::trailing_bytes);
+    return value;
+}
+
+template<class T>
+std::string encode_value(const T& value)
+{
+    std::string bytes(1, static_cast<char>(message_version));
+    string_output_archive archive(bytes);
+    archive(value);
+    return bytes;
+}
+
+} // namespace
+
+result<std::string> encode(const message& value)
+{
+    auto bytes = encode_value(value);
+    if (bytes.size() > max_message_bytes)
+        return make_error_code(codec_error::oversized);
+    return bytes;
+}
+
+result<message> decode(std::string_view bytes)
+{
+    return decode_value<message>(bytes);
+}
+
+std::string encode_table(const shard_table& table)
+{
+    return encode_value(table);
+}
+
+result<shard_table> decode_table(std::string_view bytes)
+{
+    return decode_value<shard_table>(bytes);
+}
+
+std::string encode_hello(const hello& value)
+{
+    return encode_value(value);
+}
+
+result<hello> decode_hello(std::string_view bytes)
+{
+    return decode_value<hello>(bytes);
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/connection/submission_json.cpp
@@ -0,0 +1,185 @@
+#include "tarragonlock/connection/caller_server.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+bool read_labels(const json& body, label_set& labels, std::string& fault)
+{
+    const auto found = body.find("labels");
+    if (found == body.end())
+        return true;
+    if (!found->is_object())
+    {
+        fault = "labels must be an object of texts";
+        return false;
+    }
+    for (const auto& [key, value] : found->items())
+    {
+        if (!value.is_string())
+        {
+            fault = "labels must be an object of texts";
+            return false;
+        }
+        labels.emplace(key, value.get<std::string>());
+    }
+    return true;
+}
+
+bool read_count(const json& body, const char* key, std::uint32_t most, std::uint32_t& target,
+                std::string& fault)
+{
+    const auto found = body.find(key);
+    if (found == body.end())
+        return true;
+    if (!found->is_number_unsigned() || found->get<std::uint64_t>() > most)
+    {
+        fault = std::string(key) + " must be a whole number from 0 to " + std::to_string(most);
+        return false;
+    }
+    target = found->get<std::uint32_t>();
+    return true;
+}
+
+bool read_tasks(const json& body, std::vector<task_input>& tasks, std::string& fault)
+{
+    const auto found = body.find("tasks");
+    if (found == body.end() || !found->is_array() || found->empty() ||
+        found->size() > max_tasks_per_job)
+    {
+        fault = "tasks must be a list of 1 to " + std::to_string(max_tasks_per_job) + " tasks";
+        return false;
+    }
+    for (const auto& item : *found)
+    {
+        const auto task_body = item.is_object() ? item.find("body") : item.end();
+        if (!item.is_object() || task_body == item.end())
+        {
+            fault = "each task must be an object with a body";
+            return false;
+        }
+        task_input task;
+        task.body = task_body->is_string() ? task_body->get<std::string>() : task_body->dump();
+        constexpr std::uint32_t most_declared = 3'600'000;
+        if (!read_count(item, "declared_ms", most_declared, task.declared_ms, fault))
+            return false;
+        tasks.push_back(std::move(task));
+    }
+    return true;
+}
+
+} // namespace
+
+bool parse_submission(const std::string& text, submission& job, std::string& fault)
+{
+    const auto body = json::parse(text, nullptr, false);
+    if (body.is_discarded() || !body.is_object())
+    {
+        fault = "the body must be a JSON object";
+        return false;
+    }
+    static constexpr std::array known{"service", "team",        "labels",
+                                      "tasks",   "deadline_ms", "idempotent"};
+    for (const auto& [key, value] : body.items())
+    {
+        if (std::find(known.begin(), known.end(), key) != known.end())
+            continue;
+        fault = "unknown key " + key;
+        return false;
+    }
+    const auto service = body.find("service");
+    if (service == body.end() || !service->is_string())
+    {
+        fault = "service must be a text";
+        return false;
+    }
+    job.service = service->get<std::string>();
+    const auto team = body.find("team");
+    if (team != body.end() && !team->is_string())
+    {
+        fault = "team must be a text";
+        return false;
+    }
+    job.team = team == body.end() ? std::string("default") : team->get<std::string>();
+    const auto idempotent = body.find("idempotent");
+    if (idempotent != body.end() && !idempotent->is_boolean())
+    {
+        fault = "idempotent must be true or false";
+        return false;
+    }
+    job.idempotent = idempotent != body.end() && idempotent->get<bool>();
+    constexpr auto most_deadline =
+        static_cast<std::uint32_t>(std::chrono::milliseconds(max_deadline).count());
+    return read_count(body, "deadline_ms", most_deadline, job.deadline_ms, fault) &&
+           read_labels(body, job.labels, fault) && read_tasks(body, job.tasks, fault);
+}
+
+std::string render_answer(const caller_response& response)
+{
+    nlohmann::ordered_json body;
+    body["id"] = response.id;
+    if (!response.reply)
+    {
+        body["outcome"] = "pending";
+        return body.dump();
+    }
+    const auto& reply = *response.reply;
+    body["outcome"] = std::string(to_string(reply.outcome));
+    if (reply.outcome == outcome::complete)
+        body["results"] = reply.results;
+    else
+        body["reason"] = std::string(to_string(reply.reason));
+    if (reply.retry_after_ms > 0)
+        body["retry_after_ms"] = reply.retry_after_ms;
+    // A backend server may answer with bytes that are not UTF-8.
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+int http_status(const caller_response& response)
+{
+    if (!response.reply)
+        return 202;
+    const auto& reply = *response.reply;
+    switch (reply.outcome)
+    {
+    case outcome::complete:
+        return 200;
+    case outcome::failed:
+        return 502;
+    case outcome::unknown:
+        return 504;
+    case outcome::refused:
+        break;
+    }
+    switch (reply.reason)
+    {
+    case reason::invalid_request:
+        return 400;
+    case reason::unauthorized:
+        return 403;
+    case reason::unknown_service:
+    case reason::unknown_id:
+        return 404;
+    case reason::id_conflict:
+    case reason::cancelled:
+        return 409;
+    case reason::no_matching_worker:
+        return reply.retry_after_ms > 0 ? 503 : 422;
+    case reason::queue_full:
+    case reason::quota_exceeded:
+        return 429;
+    default:
+        return 503;
+    }
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/connection/worker_directory.cpp
@@ -0,0 +1,317 @@
+#include "tarragonlock/connection/worker_directory.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+/// Weight of a new sample when many are there.
+constexpr double slowness_gain = 0.05;
+/// Weight of the pool's mean against a new worker's own samples.
+constexpr double prior_samples = 4.0;
+constexpr auto speed_refresh_interval = std::chrono::milliseconds(200);
+
+} // namespace
+
+std::uint32_t worker_view::free_slots() const
+{
+    if (!connected || leaving)
+        return 0;
+    const auto in_flight = tasks_sent - std::min(tasks_sent, load.tasks_received);
+    return load.free_slots > in_flight ? load.free_slots - static_cast<std::uint32_t>(in_flight)
+                                       : 0;
+}
+
+double worker_pool::rate_faster_than(double log_slowness) const
+{
+    const auto step =
+        std::lower_bound(speeds.begin(), speeds.end(), log_slowness,
+                         [](const speed_step& s, double limit) { return s.log_slowness < limit; });
+    return step == speeds.begin() ? 0.0 : std::prev(step)->cumulative_rate;
+}
+
+worker_directory::worker_directory(ejection_policy ejection, duration record_window)
+    : ejection_(ejection), record_window_(record_window)
+{
+}
+
+void worker_directory::use(std::shared_ptr<const declarations> config)
+{
+    config_ = std::move(config);
+    pools_.clear();
+    for (auto& worker : workers_)
+    {
+        worker.pools.clear();
+        worker.free_key.reset();
+    }
+}
+
+pool_index worker_directory::pool_for(const std::string& service, const routing_rule& rule)
+{
+    for (pool_index i = 0; i < pools_.size(); ++i)
+    {
+        if (pools_[i].service == service && pools_[i].rule.selector_index == rule.selector_index)
+            return i;
+    }
+    pools_.push_back({service, rule});
+    fill_pool(static_cast<pool_index>(pools_.size() - 1));
+    return static_cast<pool_index>(pools_.size() - 1);
+}
+
+void worker_directory::fill_pool(pool_index index)
+{
+    for (worker_index worker = 0; worker < workers_.size(); ++worker)
+    {
+        auto& view = workers_[worker];
+        auto& pool = pools_[index];
+        if (view.service != pool.service || !config_->allows(pool.rule, view.labels))
+            continue;
+        pool.members.push_back(worker);
+        view.pools.push_back(index);
+        // Forgetting the key makes refresh insert the worker into this pool too.
+        view.free_key.reset();
+        refresh(worker);
+    }
+    refresh_speeds(pools_[index]);
+}
+
+void worker_directory::join_pools(worker_index worker)
+{
+    auto& view = workers_[worker];
+    for (const auto index : view.pools)
+    {
+        auto& pool = pools_[index];
+        std::erase(pool.members, worker);
+        pool.probes.erase(worker);
+        if (view.free_key)
+            pool.free.erase({*view.free_key, worker});
+    }
+    view.pools.clear();
+    view.free_key.reset();
+    if (!config_)
+        return;
+    for (pool_index i = 0; i < pools_.size(); ++i)
+    {
+        if (pools_[i].service != view.service || !config_->allows(pools_[i].rule, view.labels))
+            continue;
+        pools_[i].members.push_back(worker);
+        view.pools.push_back(i);
+        refresh_speeds(pools_[i]);
+    }
+    refresh(worker);
+}
+
+/// Keeps the worker's place among the free ones of its pools.
+void worker_directory::refresh(worker_index worker)
+{
+    auto& view = workers_[worker];
+    std::optional<double> key;
+    if (view.free_slots() > 0 && !view.ejected)
+        key = view.log_slowness;
+    if (key == view.free_key)
+        return;
+    for (const auto index : view.pools)
+    {
+        auto& free = pools_[index].free;
+        if (view.free_key)
+            free.erase({*view.free_key, worker});
+        if (key)
+            free.insert({*key, worker});
+    }
+    view.free_key = key;
+}
+
+void worker_directory::refresh_speeds(worker_pool& pool)
+{
+    std::vector<std::pair<double, std::uint32_t>> members;
+    pool.slots = 0;
+    for (const auto member : pool.members)
+    {
+        const auto& view = workers_[member];
+        if (!view.connected || view.leaving || view.ejected)
+            continue;
+        members.emplace_back(view.log_slowness, view.slots);
+        pool.slots += view.slots;
+    }
+    std::sort(members.begin(), members.end());
+    pool.speeds.clear();
+    double rate = 0.0;
+    for (const auto& [slowness, slots] : members)
+    {
+        rate += slots / std::exp(slowness);
+        pool.speeds.push_back({slowness, rate});
+    }
+}
+
+std::pair<worker_index, bool> worker_directory::on_announce(instant now, const std::string& name,
+                                                            const announce& notice)
+{
+    const auto [found, inserted] =
+        by_name_.try_emplace(name, static_cast<worker_index>(workers_.size()));
+    const auto worker = found->second;
+    if (inserted)
+        workers_.push_back({.id = {name, notice.incarnation}});
+    auto& view = workers_[worker];
+    const bool restarted = !inserted && view.id.incarnation != notice.incarnation;
+    if (restarted)
+    {
+        replaced_.emplace_back(view.id, now);
+        view.id.incarnation = notice.incarnation;
+        view.results_through = 0;
+        view.ejected = false;
+        view.pause = {};
+    }
+    view.service = notice.service;
+    view.labels = notice.labels;
+    view.slots = notice.slots;
+    view.connected = true;
+    view.leaving = notice.leaving;
+    view.load = notice.load;
+    view.tasks_sent = notice.load.tasks_received;
+    view.told_backlog = false;
+    view.last_heard = now;
+    join_pools(worker);
+    judge(now, worker);
+    return {worker, restarted};
+}
+
+std::optional<worker_index> worker_directory::on_load(instant now, const std::string& name,
+                                                      const worker_load& load)
+{
+    const auto worker = find(name);
+    if (!worker)
+        return std::nullopt;
+    auto& view = workers_[*worker];
+    view.load = load;
+    view.last_heard = now;
+    judge(now, *worker);
+    refresh(*worker);
+    return worker;
+}
+
+std::optional<worker_index> worker_directory::on_lost(instant now, const std::string& name)
+{
+    const auto worker = find(name);
+    if (!worker)
+        return std::nullopt;
+    workers_[*worker].connected = false;
+    workers_[*worker].lost_at = now;
+    refresh(*worker);
+    return worker;
+}
+
+void worker_directory::on_sent(worker_index worker, std::uint32_t tasks)
+{
+    workers_[worker].tasks_sent += tasks;
+    workers_[worker].outstanding += tasks;
+    refresh(worker);
+}
+
+void worker_directory::on_ended(instant now, worker_index worker, const task_outcome& outcome,
+                                double expected_ms)
+{
+    auto& view = workers_[worker];
+    view.outstanding -= std::min(view.outstanding, 1U);
+    if (outcome.status == task_status::succeeded && expected_ms > 0)
+    {
+        const double sample = std::log(std::max(outcome.run_ms, 1U) / expected_ms);
+        view.samples += 1.0;
+        const double gain = std::max(slowness_gain, 1.0 / (view.samples + prior_samples));
+        view.log_slowness += gain * (sample - view.log_slowness);
+    }
+    if (view.ejected && outcome.status == task_status::failed)
+    {
+        view.pause = std::min(view.pause * 2, ejection_.longest_pause);
+        view.probe_at = now + view.pause;
+    }
+    judge(now, worker);
+    refresh(worker);
+}
+
+/// Ejects a worker that fails whatever it starts, and readmits it after a success.
+void worker_directory::judge(instant now, worker_index worker)
+{
+    auto& view = workers_[worker];
+    if (!ejection_.enabled)
+        return;
+    const bool failing = view.load.consecutive_failures >= ejection_.failures;
+    if (!failing)
+    {
+        view.ejected = false;
+        view.pause = {};
+        return;
+    }
+    if (view.ejected || too_many_ejected(view))
+        return;
+    view.ejected = true;
+    view.pause = ejection_.first_pause;
+    view.probe_at = now + view.pause;
+}
+
+bool worker_directory::too_many_ejected(const worker_view& worker) const
+{
+    std::size_t members = 0;
+    std::size_t ejected = 0;
+    for (const auto& other : workers_)
+    {
+        if (other.service != worker.service || !other.connected || other.leaving)
+            continue;
+        ++members;
+        ejected += other.ejected ? 1 : 0;
+    }
+    return static_cast<double>(ejected + 1) > ejection_.max_share * static_cast<double>(members);
+}
+
+void worker_directory::on_tick(instant now)
+{
+    for (worker_index worker = 0; worker < workers_.size(); ++worker)
+    {
+        auto& view = workers_[worker];
+        const bool may_probe =
+            view.ejected && view.probe_at <= now && view.outstanding == 0 && view.free_slots() > 0;
+        for (const auto index : view.pools)
+        {
+            if (may_probe)
+                pools_[index].probes.insert(worker);
+            else
+                pools_[index].probes.erase(worker);
+        }
+    }
+    std::erase_if(replaced_,
+                  [&](const auto& entry) { return now - entry.second > record_window_; });
+    if (now - speeds_refreshed_ < speed_refresh_interval)
+        return;
+    speeds_refreshed_ = now;
+    for (auto& pool : pools_)
+        refresh_speeds(pool);
+}
+
+std::optional<worker_index> worker_directory::find(const std::string& name) const
+{
+    const auto found = by_name_.find(name);
+    if (found == by_name_.end())
+        return std::nullopt;
+    return found->second;
+}
+
+std::vector<process_id> worker_directory::known_incarnations() const
+{
+    std::vector<process_id> known;
+    for (const auto& worker : workers_)
+        known.push_back(worker.id);
+    for (const auto& [id, when] : replaced_)
+        known.push_back(id);
+    return known;
+}
+
+bool worker_directory::is_connected(const process_id& id) const
+{
+    const auto worker = find(id.name);
+    return worker && workers_[*worker].id == id && workers_[*worker].connected;
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/process/agent_core.cpp
@@ -0,0 +1,485 @@
+#include "tarragonlock/process/agent_core.hpp"
+
+#include <algorithm>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+std::string key_of(const std::string& job, std::uint32_t index)
+{
+    return job + '/' + std::to_string(index);
+}
+
+std::uint64_t stamp_of(instant now)
+{
+    using std::chrono::milliseconds;
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count());
+}
+
+task_outcome not_started(const start_tasks& batch, const task_start& task)
+{
+    return {batch.job, task.index, task.attempt, task_status::not_started, 0, ""};
+}
+
+} // namespace
+
+agent_core::agent_core(agent_options options)
+    : options_(std::move(options)), records_(options_.record_window, options_.record_bytes)
+{
+}
+
+void agent_core::on_entry_connected(instant now, const std::string& entry)
+{
+    auto& view = entries_[entry];
+    view.connected = true;
+    announce_to(now, entry);
+    // What the lost connection may have swallowed goes again; the entry drops what it has.
+    for (const auto& results : view.unacknowledged)
+        send(now, entry, results);
+}
+
+void agent_core::on_entry_lost(instant, const std::string& entry)
+{
+    auto& view = entries_[entry];
+    view.connected = false;
+    view.backlog = 0;
+    view.offered = 0;
+}
+
+void agent_core::on_message(instant now, const std::string& entry, const message& received)
+{
+    std::visit([&](const auto& body) { handle(now, entry, body); }, received);
+}
+
+void agent_core::on_backend_announced(instant now, const backend_announcement& announcement)
+{
+    backend_heard_ = now;
+    if (backend_present_ && backend_ == announcement)
+        return;
+    backend_ = announcement;
+    backend_present_ = true;
+    consecutive_failures_ = 0;
+    announce_to_all(now);
+    start_queued(now);
+}
+
+void agent_core::on_backend_leaving(instant now)
+{
+    if (!backend_present_)
+        return;
+    backend_present_ = false;
+    announce_to_all(now);
+}
+
+void agent_core::drain(instant now)
+{
+    leaving_ = true;
+    announce_to_all(now);
+}
+
+void agent_core::handle(instant now, const std::string& entry, const start_tasks& batch)
+{
+    auto& view = entries_[entry];
+    view.tasks_received += batch.tasks.size();
+    view.backlog = batch.backlog;
+    view.offered -=
+        std::min<std::uint32_t>(view.offered, static_cast<std::uint32_t>(batch.tasks.size()));
+    const bool allowed = may_start(now, batch);
+    for (const auto& task : batch.tasks)
+    {
+        if (!allowed)
+        {
+            report(now, entry, not_started(batch, task));
+            continue;
+        }
+        switch (records_.accept(now, entry, batch, task))
+        {
+        case start_verdict::fresh:
+            break;
+        case start_verdict::barred:
+            report(now, entry, not_started(batch, task));
+            continue;
+        case start_verdict::duplicate:
+            ++counters_.starts_refused_known;
+            if (options_.mechanisms.refuse_known_attempts)
+                continue;
+        }
+        view.queue.push_back({{batch.job, task.index, task.attempt},
+                              task.body,
+                              now + std::chrono::milliseconds(batch.deadline_ms),
+                              batch.shard,
+                              batch.epoch});
+        ++queued_;
+    }
+    start_queued(now);
+    flush(now, entry, !allowed);
+}
+
+bool agent_core::may_start(instant now, const start_tasks& batch)
+{
+    if (!accepting() || batch.service != backend_.service)
+    {
+        ++counters_.starts_refused_leaving;
+        return false;
+    }
+    if (options_.mechanisms.refuse_fenced_epochs && fenced(batch.shard, batch.epoch))
+    {
+        ++counters_.starts_refused_fenced;
+        return false;
+    }
+    const auto stamp = stamp_of(now);
+    const auto lifetime = static_cast<std::uint64_t>(options_.grant_lifetime.count() / 1000);
+    const bool stale = batch.grant_stamp > stamp || stamp - batch.grant_stamp > lifetime;
+    if (options_.mechanisms.refuse_stale_grants && stale)
+    {
+        ++counters_.starts_refused_grant;
+        return false;
+    }
+    if (options_.mechanisms.refuse_older_config && batch.config_version < config_version_)
+    {
+        ++counters_.starts_refused_config;
+        return false;
+    }
+    observe_config(batch.config_version);
+    return true;
+}
+
+bool agent_core::fenced(std::uint32_t shard, std::uint64_t epoch) const
+{
+    return shard < shard_count && epoch < fences_.at(shard);
+}
+
+void agent_core::handle(instant now, const std::string& entry, const slot_request& request)
+{
+    entries_[entry].backlog = request.backlog;
+    offer_slots(now);
+}
+
+void agent_core::handle(instant now, const std::string& entry, const cancel_jobs& request)
+{
+    for (const auto& job : request.jobs)
+        records_.bar_job(now, job);
+    auto& queue = entries_[entry].queue;
+    const auto cancelled = [&](const queued_task& task)
+    {
+        return std::find(request.jobs.begin(), request.jobs.end(), task.attempt.job) !=
+               request.jobs.end();
+    };
+    const auto removed = std::stable_partition(queue.begin(), queue.end(), std::not_fn(cancelled));
+    for (auto task = removed; task != queue.end(); ++task)
+    {
+        const task_outcome outcome{task->attempt.job,
+                                   task->attempt.index,
+                                   task->attempt.attempt,
+                                   task_status::not_started,
+                                   0,
+                                   ""};
+        records_.finish(now, outcome);
+        report(now, entry, outcome);
+        --queued_;
+    }
+    queue.erase(removed, queue.end());
+    flush(now, entry, true);
+}
+
+void agent_core::handle(instant now, const std::string& entry, const query_tasks& request)
+{
+    query_reply reply;
+    for (const auto& attempt : request.tasks)
+        reply.outcomes.push_back(records_.query(now, attempt));
+    reply.load = load_for(now, entries_[entry]);
+    send(now, entry, std::move(reply));
+}
+
+void agent_core::handle(instant now, const std::string& entry, const fence_shards& request)
+{
+    std::vector<start_record> records;
+    for (const auto& [shard, epoch] : request.shards)
+    {
+        if (shard >= shard_count)
+            continue;
+        fences_.at(shard) = std::max(fences_.at(shard), epoch);
+        for (auto& record : records_.in_shard(shard))
+        {
+            records_.set_owner(record.job, entry);
+            records.push_back(std::move(record));
+        }
+    }
+    // Tasks that wait under an older epoch were accepted, so their records say that they may run.
+    constexpr std::size_t max_part_bytes = 1U << 20U;
+    fence_reply part{request.request, options_.incarnation, false, {}};
+    std::size_t part_bytes = 0;
+    for (auto& record : records)
+    {
+        for (const auto& task : record.tasks)
+            part_bytes += task.body.size() + task.job.size();
+        part.records.push_back(std::move(record));
+        if (part_bytes < max_part_bytes)
+            continue;
+        send(now, entry, part);
+        part.records.clear();
+        part_bytes = 0;
+    }
+    part.last = true;
+    send(now, entry, std::move(part));
+}
+
+void agent_core::handle(instant, const std::string& entry, const entry_status& status)
+{
+    observe_config(status.config_version);
+    auto& unacknowledged = entries_[entry].unacknowledged;
+    while (!unacknowledged.empty() && unacknowledged.front().sequence <= status.results_through)
+        unacknowledged.pop_front();
+}
+
+void agent_core::start_queued(instant now)
+{
+    while (backend_present_ && running_.size() < backend_.slots)
+    {
+        auto* view = next_queue();
+        if (view == nullptr)
+            return;
+        auto task = std::move(view->queue.front());
+        view->queue.pop_front();
+        --queued_;
+        const auto& owner = std::find_if(entries_.begin(), entries_.end(),
+                                         [&](const auto& entry) { return &entry.second == view; })
+                                ->first;
+        launch(now, owner, std::move(task));
+    }
+}
+
+/// The entry that uses the fewest slots here goes first, so that entries share a worker evenly.
+agent_core::entry_view* agent_core::next_queue()
+{
+    entry_view* best = nullptr;
+    for (auto& [name, view] : entries_)
+    {
+        if (!view.queue.empty() && (best == nullptr || view.running < best->running))
+            best = &view;
+    }
+    return best;
+}
+
+void agent_core::launch(instant now, const std::string& owner, queued_task task)
+{
+    const bool expired = task.deadline <= now;
+    const bool overtaken =
+        options_.mechanisms.refuse_fenced_epochs && fenced(task.shard, task.epoch);
+    if (expired || overtaken)
+    {
+        const task_outcome outcome{task.attempt.job,
+                                   task.attempt.index,
+                                   task.attempt.attempt,
+                                   task_status::not_started,
+                                   0,
+                                   ""};
+        records_.finish(now, outcome);
+        const auto recorded = records_.owner(task.attempt.job);
+        report(now, recorded.empty() ? owner : recorded, outcome);
+        return;
+    }
+    ++counters_.tasks_started;
+    ++entries_[owner].running;
+    running_[key_of(task.attempt.job, task.attempt.index)] = {owner, now};
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(task.deadline - now);
+    effects_.emplace_back(run_task{std::move(task.attempt), backend_.address, std::move(task.body),
+                                   static_cast<std::uint32_t>(left.count())});
+}
+
+void agent_core::on_task_finished(instant now, const task_outcome& finished)
+{
+    const auto found = running_.find(key_of(finished.job, finished.index));
+    if (found == running_.end())
+        return;
+    auto outcome = finished;
+    const auto ran =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second.started);
+    outcome.run_ms = static_cast<std::uint32_t>(ran.count());
+    const auto starter = found->second.owner;
+    --entries_[starter].running;
+    running_.erase(found);
+    records_.finish(now, outcome);
+    const bool succeeded = outcome.status == task_status::succeeded;
+    consecutive_failures_ = succeeded ? 0 : consecutive_failures_ + 1;
+    ++(succeeded ? counters_.tasks_succeeded : counters_.tasks_failed);
+    const auto recorded = records_.owner(outcome.job);
+    const auto& owner = recorded.empty() ? starter : recorded;
+    start_queued(now);
+    report(now, owner, std::move(outcome));
+    offer_slots(now);
+    flush(now, owner, false);
+}
+
+void agent_core::report(instant now, const std::string& entry, task_outcome outcome)
+{
+    auto& view = entries_[entry];
+    if (view.outbox.empty())
+        view.outbox_since = now;
+    view.outbox.push_back(std::move(outcome));
+}
+
+bool agent_core::more_of_job(const std::string& job) const
+{
+    const auto prefix = job + '/';
+    return std::any_of(running_.begin(), running_.end(),
+                       [&](const auto& task)
+                       { return task.first.compare(0, prefix.size(), prefix) == 0; });
+}
+
+/// Results travel at once when the entry can use the slot or the job may be over here; others wait
+/// shortly for company.
+void agent_core::flush(instant now, const std::string& entry, bool all)
+{
+    auto& view = entries_[entry];
+    if (view.outbox.empty() || !view.connected)
+        return;
+    const bool urgent = all || view.backlog > 0 ||
+                        now - view.outbox_since >= options_.result_delay ||
+                        !more_of_job(view.outbox.back().job);
+    if (!urgent)
+        return;
+    task_results results{++view.result_sequence, std::move(view.outbox), load_for(now, view)};
+    view.outbox.clear();
+    view.unacknowledged.push_back(results);
+    send(now, entry, std::move(results));
+}
+
+/// Offers free slots to entries that said they have tasks waiting, one entry at a time.
+void agent_core::offer_slots(instant now)
+{
+    while (accepting())
+    {
+        std::uint32_t offered = 0;
+        entry_view* hungriest = nullptr;
+        const std::string* name = nullptr;
+        for (auto& [entry, view] : entries_)
+        {
+            if (view.offered > 0 && view.offer_expires <= now)
+            {
+                // The entry had no use for the offer, so it counts as satisfied until it asks
+                // again.
+                counters_.offers_unused += view.offered;
+                view.offered = 0;
+                view.backlog = 0;
+            }
+            offered += view.offered;
+            if (!view.connected || view.backlog == 0 || view.offered > 0)
+                continue;
+            if (hungriest == nullptr || view.running < hungriest->running)
+            {
+                hungriest = &view;
+                name = &entry;
+            }
+        }
+        if (hungriest == nullptr || free_slots() <= offered)
+            return;
+        hungriest->offered = std::min(free_slots() - offered, hungriest->backlog);
+        hungriest->offer_expires = now + options_.offer_lifetime;
+        if (hungriest->outbox.empty())
+            send(now, *name, load_report{options_.incarnation, load_for(now, *hungriest)});
+        else
+            flush(now, *name, true);
+    }
+}
+
+std::uint32_t agent_core::free_slots() const
+{
+    if (!accepting())
+        return 0;
+    const auto used = static_cast<std::uint32_t>(running_.size()) + queued_;
+    return used >= backend_.slots ? 0 : backend_.slots - used;
+}
+
+std::uint32_t agent_core::offered_to_others(instant now, const entry_view& entry)
+{
+    std::uint32_t offered = 0;
+    for (const auto& [name, view] : entries_)
+    {
+        if (&view != &entry && view.offer_expires > now)
+            offered += view.offered;
+    }
+    return offered;
+}
+
+worker_load agent_core::load_for(instant now, entry_view& entry)
+{
+    const auto others = offered_to_others(now, entry);
+    const auto open = free_slots();
+    return {open > others ? open - others : 0,
+            queued_,
+            stamp_of(now),
+            entry.tasks_received,
+            consecutive_failures_,
+            config_version_};
+}
+
+void agent_core::announce_to(instant now, const std::string& entry)
+{
+    auto& view = entries_[entry];
+    if (!view.connected || backend_.service.empty())
+        return;
+    announce notice;
+    notice.incarnation = options_.incarnation;
+    notice.service = backend_.service;
+    notice.labels = options_.labels;
+    notice.labels.insert(backend_.labels.begin(), backend_.labels.end());
+    notice.labels.insert_or_assign("worker", options_.name);
+    notice.labels.insert_or_assign("failure_domain", options_.failure_domain);
+    notice.failure_domain = options_.failure_domain;
+    notice.slots = backend_.slots;
+    notice.leaving = !accepting();
+    notice.load = load_for(now, view);
+    send(now, entry, std::move(notice));
+}
+
+void agent_core::announce_to_all(instant now)
+{
+    for (const auto& [entry, view] : entries_)
+        announce_to(now, entry);
+}
+
+void agent_core::observe_config(std::uint64_t version)
+{
+    config_version_ = std::max(config_version_, version);
+}
+
+void agent_core::on_tick(instant now)
+{
+    records_.expire(now);
+    if (backend_present_ && now - backend_heard_ > options_.announcement_lifetime)
+        on_backend_leaving(now);
+    offer_slots(now);
+    for (auto& [entry, view] : entries_)
+    {
+        flush(now, entry, false);
+        if (view.connected && now - view.last_sent >= options_.heartbeat_interval)
+            send(now, entry, load_report{options_.incarnation, load_for(now, view)});
+    }
+}
+
+bool agent_core::idle() const
+{
+    return running_.empty() && queued_ == 0 &&
+           std::all_of(entries_.begin(), entries_.end(),
+                       [](const auto& entry)
+                       { return entry.second.outbox.empty() || !entry.second.connected; });
+}
+
+void agent_core::send(instant now, const std::string& entry, message body)
+{
+    entries_[entry].last_sent = now;
+    ++counters_.messages_sent;
+    effects_.emplace_back(send_message{entry, std::move(body)});
+}
+
+std::vector<agent_effect> agent_core::take_effects()
+{
+    return std::exchange(effects_, {});
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/process/agent_daemon.cpp
@@ -0,0 +1,303 @@
+#include "tarragonlock/process/agent_daemon.hpp"
+
+#include "connection/http_server.hpp"
+#include "process/task_runner.hpp"
+#include "tarragonlock/common/log.hpp"
+#include "tarragonlock/common/mailbox.hpp"
+#include "tarragonlock/connection/link.hpp"
+#include "tarragonlock/process/agent_core.hpp"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <future>
+#include <random>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+constexpr auto tick_interval = std::chrono::milliseconds(10);
+constexpr auto longest_shutdown = std::chrono::seconds(60);
+constexpr std::size_t http_threads = 8;
+constexpr std::size_t max_announcement_bytes = 64U << 10U;
+
+struct backend_left
+{
+};
+
+struct drain_request
+{
+};
+
+struct inspection
+{
+    std::shared_ptr<std::promise<std::string>> promise;
+};
+
+using agent_event = std::variant<link_event, backend_announcement, backend_left, task_outcome,
+                                 drain_request, inspection>;
+
+/// Parses the body of an announcement.
+/// @return the fault, or an empty text
+std::string parse_announcement(const std::string& text, std::uint32_t most_slots,
+                               backend_announcement& announcement)
+{
+    const auto body = nlohmann::json::parse(text, nullptr, false);
+    if (body.is_discarded() || !body.is_object())
+        return "the body must be a JSON object";
+    try
+    {
+        announcement.service = body.at("service").get<std::string>();
+        announcement.address = body.at("address").get<std::string>();
+        announcement.slots = body.value("slots", most_slots);
+        announcement.labels = body.value("labels", label_set());
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        return "service and address must be texts, slots a number, labels an object of texts";
+    }
+    if (announcement.slots < 1 || announcement.slots > most_slots)
+        return fmt::format("slots must be from 1 to {}", most_slots);
+    return {};
+}
+
+agent_options options_from(const agent_settings& settings, std::uint64_t incarnation)
+{
+    agent_options options;
+    options.name = settings.name;
+    options.incarnation = incarnation;
+    options.failure_domain = settings.failure_domain;
+    options.labels = settings.labels;
+    options.entry_count = static_cast<std::uint32_t>(settings.entries.size());
+    options.record_window = std::chrono::seconds(settings.record_window_s);
+    options.record_bytes = static_cast<std::size_t>(settings.record_mb) << 20U;
+    options.announcement_lifetime = std::chrono::milliseconds(settings.announcement_lifetime_ms);
+    return options;
+}
+
+class agent_task : public agent_daemon
+{
+public:
+    agent_task(const agent_settings& settings, std::uint64_t incarnation)
+        : settings_(settings), incarnation_(incarnation),
+          core_(options_from(settings, incarnation)), server_(http_threads, max_announcement_bytes),
+          runner_(settings.connections,
+                  [this](task_outcome outcome) { events_.post(agent_event(std::move(outcome))); })
+    {
+    }
+
+    std::error_code open()
+    {
+        link_options options;
+        options.self = {settings_.name, incarnation_};
+        options.listen = settings_.listen_peers;
+        options.silence_limit = std::chrono::milliseconds(settings_.silence_ms);
+        auto opened = link::open(options, [this](link_event event)
+                                 { events_.post(agent_event(std::move(event))); });
+        if (!opened)
+            return opened.error();
+        link_ = std::move(opened).value();
+        for (const auto& entry : settings_.entries)
+            link_->keep_connected(entry.name, entry.address);
+        add_routes();
+        if (!server_.start(settings_.listen_http))
+            return std::make_error_code(std::errc::address_in_use);
+        return {};
+    }
+
+    void run(const std::atomic<bool>& stop) override
+    {
+        log_event(log_level::info, "started", {{"http", settings_.listen_http}});
+        while (!stop)
+            step();
+        log_event(log_level::info, "draining");
+        const auto began = process_clock::now();
+        core_.drain(began);
+        carry_out();
+        // Entries learn first that no more tasks are taken; those on the way are refused.
+        constexpr auto least_shutdown = std::chrono::milliseconds(500);
+        while (process_clock::now() - began < longest_shutdown &&
+               (process_clock::now() - began < least_shutdown || !core_.idle()))
+            step();
+        server_.stop();
+        log_event(log_level::info, "stopped");
+    }
+
+private:
+    void add_routes()
+    {
+        auto& routes = server_.routes();
+        routes.Post("/v1/announce", [this](const auto& request, auto& response)
+                    { take_announcement(request, response); });
+        routes.Delete("/v1/announce",
+                      [this](const auto&, auto& response)
+                      {
+                          events_.post(agent_event(backend_left{}));
+                          response.set_content("{}", "application/json");
+                      });
+        routes.Put("/v1/drain",
+                   [this](const auto&, auto& response)
+                   {
+                       events_.post(agent_event(drain_request{}));
+                       response.set_content("{}", "application/json");
+                   });
+        routes.Get("/metrics", [this](const auto&, auto& response)
+                   { response.set_content(inspect(), "text/plain; version=0.0.4"); });
+        routes.Get("/readyz",
+                   [this](const auto&, auto& response)
+                   {
+                       response.status = has_backend_ ? 200 : 503;
+                       response.set_content(has_backend_ ? "ready\n" : "no backend server\n",
+                                            "text/plain");
+                   });
+    }
+
+    void take_announcement(const httplib::Request& request, httplib::Response& response)
+    {
+        backend_announcement announcement;
+        const auto fault = parse_announcement(request.body, settings_.slots, announcement);
+        if (!fault.empty())
+        {
+            response.status = 400;
+            response.set_content(nlohmann::json{{"detail", fault}}.dump(), "application/json");
+            return;
+        }
+        events_.post(agent_event(std::move(announcement)));
+        response.set_content("{}", "application/json");
+    }
+
+    std::string inspect()
+    {
+        auto promise = std::make_shared<std::promise<std::string>>();
+        auto answered = promise->get_future();
+        events_.post(agent_event(inspection{std::move(promise)}));
+        return answered.get();
+    }
+
+    void step()
+    {
+        if (auto event = events_.receive(tick_interval))
+        {
+            handle_one(std::move(*event));
+            for (auto& more : events_.drain())
+                handle_one(std::move(more));
+        }
+        const auto now = process_clock::now();
+        if (now - last_tick_ < tick_interval)
+            return;
+        last_tick_ = now;
+        core_.on_tick(now);
+        has_backend_ = core_.has_backend();
+        carry_out();
+    }
+
+    void handle_one(agent_event event)
+    {
+        const auto now = process_clock::now();
+        if (auto* body = std::get_if<link_event>(&event))
+            handle(now, *body);
+        else if (const auto* announced = std::get_if<backend_announcement>(&event))
+            core_.on_backend_announced(now, *announced);
+        else if (std::holds_alternative<backend_left>(event))
+            core_.on_backend_leaving(now);
+        else if (const auto* outcome = std::get_if<task_outcome>(&event))
+            finish(now, *outcome);
+        else if (std::holds_alternative<drain_request>(event))
+            core_.drain(now);
+        else if (auto* question = std::get_if<inspection>(&event))
+            question->promise->set_value(metrics());
+        carry_out();
+    }
+
+    void finish(instant now, const task_outcome& outcome)
+    {
+        if (outcome.status != task_status::succeeded)
+            log_event(log_level::warn, "task_failed",
+                      {{"job", outcome.job},
+                       {"task", static_cast<std::int64_t>(outcome.index)},
+                       {"started", std::int64_t{outcome.status == task_status::failed}}});
+        core_.on_task_finished(now, outcome);
+    }
+
+    void handle(instant now, const link_event& event)
+    {
+        if (const auto* received = std::get_if<message_received>(&event))
+            core_.on_message(now, received->from, received->body);
+        else if (const auto* up = std::get_if<peer_connected>(&event))
+            core_.on_entry_connected(now, up->peer.name);
+        else if (const auto* down = std::get_if<peer_lost>(&event))
+        {
+            log_event(log_level::warn, "entry_lost", {{"entry", down->peer}});
+            core_.on_entry_lost(now, down->peer);
+        }
+    }
+
+    void carry_out()
+    {
+        for (auto& effect : core_.take_effects())
+        {
+            if (auto* outgoing = std::get_if<send_message>(&effect))
+                link_->send(outgoing->to, std::move(outgoing->body));
+            else if (auto* task = std::get_if<run_task>(&effect))
+                runner_.run(std::move(*task));
+        }
+    }
+
+    std::string metrics() const
+    {
+        const auto& counters = core_.counters();
+        const auto traffic = link_->counters();
+        std::string text;
+        const auto add = [&](const char* kind, const char* name, std::uint64_t value)
+        {
+            text += fmt::format("# TYPE tarragonlock_agent_{1} {0}\ntarragonlock_agent_{1} {2}\n",
+                                kind, name, value);
+        };
+        add("counter", "tasks_started_total", counters.tasks_started);
+        add("counter", "tasks_succeeded_total", counters.tasks_succeeded);
+        add("counter", "tasks_failed_total", counters.tasks_failed);
+        add("counter", "starts_refused_fenced_total", counters.starts_refused_fenced);
+        add("counter", "starts_refused_grant_total", counters.starts_refused_grant);
+        add("counter", "starts_refused_known_total", counters.starts_refused_known);
+        add("counter", "starts_refused_config_total", counters.starts_refused_config);
+        add("counter", "starts_refused_leaving_total", counters.starts_refused_leaving);
+        add("counter", "offers_unused_total", counters.offers_unused);
+        add("counter", "messages_sent_total", counters.messages_sent);
+        add("counter", "link_bytes_sent_total", traffic.bytes_sent);
+        add("counter", "link_bytes_received_total", traffic.bytes_received);
+        add("counter", "link_silent_connections_total", traffic.silent_connections);
+        add("gauge", "running", core_.running());
+        add("gauge", "queued", core_.queued());
+        add("gauge", "job_records", core_.records().job_count());
+        add("gauge", "record_bytes", core_.records().bytes());
+        add("gauge", "config_version", core_.config_version());
+        return text;
+    }
+
+    agent_settings settings_;
+    std::uint64_t incarnation_;
+    agent_core core_;
+    mailbox<agent_event> events_;
+    std::unique_ptr<link> link_;
+    http_server server_;
+    task_runner runner_;
+    instant last_tick_;
+    std::atomic<bool> has_backend_{false};
+};
+
+} // namespace
+
+result<std::unique_ptr<agent_daemon>> agent_daemon::create(const agent_settings& settings)
+{
+    std::random_device device;
+    const std::uint64_t random = (static_cast<std::uint64_t>(device()) << 32U) | device();
+    auto task = std::make_unique<agent_task>(settings, random | 1U);
+    if (const auto error = task->open())
+        return error;
+    return std::unique_ptr<agent_daemon>(std::move(task));
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/process/entry_core.cpp
@@ -0,0 +1,404 @@
+#include "tarragonlock/process/entry_core.hpp"
+
+#include "tarragonlock/request/job_id.hpp"
+
+#include <algorithm>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+/// Time beyond a job's deadline for which its owner's answer is waited for.
+constexpr auto forward_grace = std::chrono::seconds(2);
+constexpr auto not_ready_retry = std::chrono::seconds(1);
+
+} // namespace
+
+// ---- callers ---------------------------------------------------------------------------------
+
+void entry_core::on_submit(instant now, caller_token caller, submission job, duration wait)
+{
+    now_ = now;
+    ++counters_.submissions;
+    if (job.deadline_ms == 0)
+    {
+        const auto* service = config_ ? config_->find_service(job.service) : nullptr;
+        job.deadline_ms = (service ? *service : service_declaration{}).default_deadline_ms;
+    }
+    submit(now, {caller, "", 0, now + wait}, std::move(job));
+    dispatcher_->pump(now);
+    collect(now);
+}
+
+std::string entry_core::mint_id()
+{
+    return to_string(minted_id{options_.self, ++minted_});
+}
+
+void entry_core::on_query(instant now, caller_token caller, const std::string& id, duration wait)
+{
+    now_ = now;
+    control(now, {caller, "", 0, now + wait}, id, true);
+    collect(now);
+}
+
+void entry_core::on_cancel(instant now, caller_token caller, const std::string& id)
+{
+    now_ = now;
+    control(now, {caller, "", 0, std::nullopt}, id, false);
+    collect(now);
+}
+
+void entry_core::on_caller_gone(caller_token caller)
+{
+    for (auto& [id, waiters] : waiters_)
+        std::erase_if(waiters,
+                      [&](const waiter& w) { return w.entry.empty() && w.caller == caller; });
+    std::erase_if(forwards_, [&](const auto& item)
+                  { return item.second.from.entry.empty() && item.second.from.caller == caller; });
+}
+
+// ---- submissions -----------------------------------------------------------------------------
+
+/// @return the entry that an identifier belongs to for good, or an empty text.
+std::string entry_core::minter_of(const std::string& id) const
+{
+    const auto minted = parse_minted_id(id);
+    return minted ? minted->entry.name : std::string();
+}
+
+void entry_core::submit(instant now, waiter from, submission job)
+{
+    // A job that runs here is answered here, whoever owns its shard by now.
+    if (dispatcher_->in_progress(job.id) || handed_over_.contains(job.id))
+    {
+        if (answer_known(now, from, job, {}))
+            return;
+    }
+    if (const auto minted = parse_minted_id(job.id))
+    {
+        if (minted->entry == options_.self)
+        {
+            if (minted->counter > minted_)
+                return deliver(from, job.id, outcome::refused, reason::unknown_id);
+            return submit_owned(now, std::move(from), std::move(job),
+                                {minted_shard, options_.self.incarnation});
+        }
+        if (minted->entry.name == options_.self.name || !from.entry.empty())
+            return deliver(from, job.id, outcome::unknown, reason::records_lost);
+        return pass_on(now, std::move(from), minted->entry.name, std::move(job));
+    }
+    const auto shard = shard_of(job.id);
+    const auto owner = ownership_.owner(shard);
+    if (ownership_.state(shard) == shard_state::active)
+        return submit_owned(now, std::move(from), std::move(job), {shard, ownership_.epoch(shard)});
+    const bool here = ownership_.state(shard) != shard_state::foreign;
+    if (here || owner.empty() || owner == options_.self.name)
+    {
+        const auto deadline = now + std::chrono::milliseconds(job.deadline_ms);
+        held_.push_back({std::move(from), std::move(job), deadline});
+        return;
+    }
+    if (!from.entry.empty())
+        return; // The sender has an older table and repeats the submission once it has this one.
+    pass_on(now, std::move(from), owner, std::move(job));
+}
+
+void entry_core::submit_owned(instant now, waiter from, submission job, start_right right)
+{
+    if (answer_known(now, from, job, right))
+        return;
+    if (right.shard != minted_shard)
+    {
+        if (!ownership_.holds_lease(now))
+            return deliver(from, job.id, outcome::unknown, reason::owner_unreachable,
+                           not_ready_retry);
+        if (const auto created = uuid7_time(job.id))
+        {
+            const auto age = wall(now) - *created;
+            if (age < -options_.clock_skew)
+                return deliver(from, job.id, outcome::refused, reason::invalid_request);
+            if (age > options_.record_window - options_.clock_skew)
+                return deliver(from, job.id, outcome::unknown, reason::id_expired);
+        }
+        if (uncertain(right.shard, job.id))
+            return deliver(from, job.id, outcome::unknown, reason::records_lost);
+    }
+    if (auto refusal = dispatcher_->refusal(job))
+        return deliver(from, *refusal);
+    const auto id = job.id;
+    registry_.start(now, id, digest_of(job));
+    waiters_[id].push_back(std::move(from));
+    dispatcher_->admit(now, std::move(job), right);
+}
+
+/// Answers from what is known about an identifier.
+/// @return whether it was known
+bool entry_core::answer_known(instant now, const waiter& from, const submission& job,
+                              start_right right)
+{
+    const auto* known = registry_.find(job.id);
+    if (known == nullptr)
+        return false;
+    ++counters_.joined;
+    if (known->digest != digest_of(job))
+    {
+        deliver(from, job.id, outcome::refused, reason::id_conflict);
+        return true;
+    }
+    switch (known->where)
+    {
+    case registry_entry::state::running:
+        waiters_[job.id].push_back(from);
+        return true;
+    case registry_entry::state::finished:
+        if (known->results_dropped)
+            deliver(from, job.id, outcome::unknown, reason::records_lost);
+        else
+            deliver(from, known->reply);
+        return true;
+    case registry_entry::state::remote:
+        if (ownership_.is_heard(now, known->runner))
+            pass_on(now, from, known->runner, job);
+        else
+            deliver(from, job.id, outcome::unknown, reason::records_lost);
+        return true;
+    case registry_entry::state::recovered:
+        resume_recovered(now, from, job, *known, right);
+        return true;
+    }
+    return false;
+}
+
+/// Goes on with a job of which the agents have records: what ran is not run again, the rest is.
+void entry_core::resume_recovered(instant now, const waiter& from, const submission& job,
+                                  const registry_entry& known, start_right right)
+{
+    const bool all_recorded = known.outcomes.size() == job.tasks.size();
+    if (!all_recorded && uncertain(right.shard, job.id))
+        return deliver(from, job.id, outcome::unknown, reason::records_lost);
+    const auto outcomes = known.outcomes;
+    registry_.start(now, job.id, digest_of(job));
+    waiters_[job.id].push_back(from);
+    dispatcher_->admit(now, job, right, outcomes);
+}
+
+/// @return whether a job without a record may have been started by an earlier owner.
+bool entry_core::uncertain(std::uint32_t shard, const std::string& id) const
+{
+    for (const auto& round : recoveries_)
+    {
+        if (!round.covers(shard))
+            continue;
+        const auto taken_over = wall(round.started());
+        const auto created = uuid7_time(id);
+        const auto skew = std::chrono::duration_cast<unix_milliseconds>(options_.clock_skew);
+        if (created && *created > taken_over + skew)
+            continue;
+        if (!round.complete())
+            return true;
+    }
+    return false;
+}
+
+void entry_core::pass_on(instant now, waiter from, const std::string& target, submission job)
+{
+    const auto request = next_request_++;
+    const auto deadline = now + std::chrono::milliseconds(job.deadline_ms) + forward_grace;
+    send(target, forward_submit{request, job});
+    ++counters_.forwarded;
+    auto id = job.id;
+    forwards_[request] = {std::move(from), target, std::move(job), std::move(id),
+                          false,           now,    deadline};
+}
+
+/// Handles a question about a job, or its cancellation.
+void entry_core::control(instant now, waiter from, const std::string& id, bool query)
+{
+    const auto* known = registry_.find(id);
+    if (known != nullptr && known->where == registry_entry::state::running)
+    {
+        waiters_[id].push_back(std::move(from));
+        if (!query)
+            dispatcher_->cancel(now, id);
+        return;
+    }
+    if (known != nullptr && known->where == registry_entry::state::finished)
+        return known->results_dropped ? deliver(from, id, outcome::unknown, reason::records_lost)
+                                      : deliver(from, known->reply);
+    auto target = minter_of(id);
+    if (target.empty())
+        target = known != nullptr && known->where == registry_entry::state::remote
+                     ? known->runner
+                     : ownership_.owner(shard_of(id));
+    if (target.empty() || target == options_.self.name || !from.entry.empty())
+    {
+        const bool certain = known == nullptr && minter_of(id).empty() &&
+                             ownership_.state(shard_of(id)) == shard_state::active &&
+                             ownership_.holds_lease(now) && !uncertain(shard_of(id), id);
+        return deliver(from, id, certain ? outcome::refused : outcome::unknown,
+                       certain ? reason::unknown_id : reason::records_lost);
+    }
+    const auto request = next_request_++;
+    const auto wait = from.until ? *from.until - now : duration(0);
+    send(target,
+         forward_control{request, id, query, static_cast<std::uint32_t>(wait.count() / 1000)});
+    forwards_[request] = {std::move(from),           target, std::nullopt, id, query, now,
+                          now + wait + forward_grace};
+}
+
+// ---- answers ---------------------------------------------------------------------------------
+
+void entry_core::deliver(const waiter& to, const answer& reply)
+{
+    if (!to.entry.empty())
+        return send(to.entry, forward_answer{to.request, false, reply});
+    ++counters_.answers[reply.outcome];
+    effects_.emplace_back(reply_to_caller{to.caller, reply});
+}
+
+void entry_core::deliver(const waiter& to, const std::string& id, outcome what, reason why,
+                         duration retry)
+{
+    deliver(to, {id, what, why, {}, static_cast<std::uint32_t>(retry.count() / 1000)});
+}
+
+/// Passes on what the dispatcher has decided.
+void entry_core::collect(instant now)
+{
+    for (auto& reply : dispatcher_->take_answers())
+    {
+        const auto waiting = waiters_.extract(reply.id);
+        // A refused job was not run, so the same id may be tried again.
+        if (reply.outcome == outcome::refused)
+            registry_.forget(reply.id);
+        else
+            registry_.finish(now, reply);
+        if (!waiting.empty())
+        {
+            for (const auto& to : waiting.mapped())
+                deliver(to, reply);
+        }
+        if (const auto moved = handed_over_.find(reply.id); moved != handed_over_.end())
+        {
+            const auto* known = registry_.find(reply.id);
+            send(moved->second, handover{ownership_.table().version,
+                                         {},
+                                         {{reply.id, known ? known->digest : 0, true, reply}}});
+            handed_over_.erase(moved);
+        }
+    }
+    for (auto& item : dispatcher_->take_messages())
+        send(item.to, std::move(item.body));
+}
+
+void entry_core::expire_waiters(instant now)
+{
+    for (auto& [id, waiters] : waiters_)
+    {
+        for (const auto& waiting : waiters)
+        {
+            if (!waiting.until || *waiting.until > now)
+                continue;
+            if (waiting.entry.empty())
+                effects_.emplace_back(reply_to_caller{waiting.caller, std::nullopt});
+            else
+                send(waiting.entry, forward_answer{waiting.request, true, {}});
+        }
+        std::erase_if(waiters, [&](const waiter& w) { return w.until && *w.until <= now; });
+    }
+}
+
+void entry_core::repeat_forwards(instant now)
+{
+    std::vector<forward> again;
+    for (auto item = forwards_.begin(); item != forwards_.end();)
+    {
+        auto& [request, pending] = *item;
+        if (pending.deadline <= now)
+        {
+            deliver(pending.from, pending.id, outcome::unknown, reason::owner_unreachable,
+                    not_ready_retry);
+            item = forwards_.erase(item);
+            continue;
+        }
+        if (pending.from.entry.empty() && pending.from.until && *pending.from.until <= now)
+        {
+            effects_.emplace_back(reply_to_caller{pending.from.caller, std::nullopt});
+            item = forwards_.erase(item);
+            continue;
+        }
+        const auto owner = ownership_.owner(shard_of(pending.id));
+        const bool moved =
+            minter_of(pending.id).empty() && !owner.empty() && owner != pending.target;
+        const bool repeat =
+            (moved || pending.lost) && now - pending.sent >= options_.forward_repeat;
+        if (!repeat || !pending.job)
+        {
+            ++item;
+            continue;
+        }
+        again.push_back(std::move(pending));
+        item = forwards_.erase(item);
+    }
+    for (auto& pending : again)
+    {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            pending.deadline - forward_grace - now);
+        if (left.count() <= 0)
+        {
+            deliver(pending.from, pending.id, outcome::unknown, reason::owner_unreachable);
+            continue;
+        }
+        pending.job->deadline_ms = static_cast<std::uint32_t>(left.count());
+        submit(now, std::move(pending.from), std::move(*pending.job));
+    }
+}
+
+/// Tries submissions again that waited for their shard; those whose time is up get an answer.
+void entry_core::retry_held(instant now)
+{
+    auto held = std::exchange(held_, {});
+    for (auto& request : held)
+    {
+        if (request.deadline <= now)
+        {
+            deliver(request.from, request.job.id, outcome::unknown, reason::not_ready,
+                    not_ready_retry);
+            continue;
+        }
+        const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now);
+        request.job.deadline_ms =
+            static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
+        submit(now, std::move(request.from), std::move(request.job));
+    }
+}
+
+bool entry_core::idle() const
+{
+    return dispatcher_->job_count() == 0 && waiters_.empty() && forwards_.empty() &&
+           held_.empty() && handed_over_.empty();
+}
+
+std::string entry_core::describe(const std::string& id) const
+{
+    if (auto here = dispatcher_->describe(id); !here.empty())
+        return "in progress at " + options_.self.name + ": " + here;
+    if (const auto* known = registry_.find(id))
+        return known->where == registry_entry::state::finished
+                   ? "finished: " + std::string(to_string(known->reply.outcome)) + " (" +
+                         std::string(to_string(known->reply.reason)) + ")"
+                   : "known from records";
+    const auto minter = minter_of(id);
+    return "not here; owner: " + (minter.empty() ? ownership_.owner(shard_of(id)) : minter);
+}
+
+std::vector<entry_effect> entry_core::take_effects()
+{
+    return std::exchange(effects_, {});
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/process/entry_core_membership.cpp
@@ -0,0 +1,409 @@
+// The part of the entry core about other processes, shards and versions.
+
+#include "tarragonlock/process/entry_core.hpp"
+
+#include <algorithm>
+
+namespace tarragonlock
+{
+
+result<std::unique_ptr<entry_core>> entry_core::create(entry_options options, instant now)
+{
+    auto placement = make_placement(options.placement);
+    if (!placement)
+        return placement.error();
+    options.ownership.self = options.self;
+    options.ownership.entries = options.entries;
+    options.dispatch.entry_count = static_cast<std::uint32_t>(options.entries.size());
+    return std::unique_ptr<entry_core>(
+        new entry_core(std::move(options), now, std::move(placement).value()));
+}
+
+entry_core::entry_core(entry_options options, instant now,
+                       std::unique_ptr<placement_strategy> placement)
+    : options_(std::move(options)), started_(now),
+      directory_(options_.ejection, options_.record_window), ownership_(options_.ownership, now),
+      registry_(options_.record_window, options_.result_bytes),
+      // Requests of an earlier incarnation must not be taken for this one's.
+      next_request_(options_.self.incarnation << 20U)
+{
+    dispatcher_ = std::make_unique<dispatcher>(options_.dispatch, directory_, std::move(placement),
+                                               [this](const start_right& right) {
+                                                   return right.shard == minted_shard ||
+                                                          ownership_.holds_lease(now_);
+                                               });
+}
+
+unix_milliseconds entry_core::wall(instant now) const
+{
+    return std::chrono::duration_cast<unix_milliseconds>(now.time_since_epoch()) +
+           options_.wall_offset;
+}
+
+void entry_core::send(const std::string& to, message body)
+{
+    ++counters_.messages_sent;
+    effects_.emplace_back(send_message{to, std::move(body)});
+}
+
+void entry_core::on_message(instant now, const std::string& from, const message& received)
+{
+    now_ = now;
+    std::visit([&](const auto& body) { handle(now, from, body); }, received);
+    dispatcher_->pump(now);
+    collect(now);
+}
+
+// ---- other entries ---------------------------------------------------------------------------
+
+void entry_core::handle(instant now, const std::string& from, const entry_beat& beat)
+{
+    ownership_.on_beat(now, from, beat);
+    if (beat.config_version < config_version_)
+        send(from, config_update{config_version_, config_document_});
+    apply_ownership(now);
+}
+
+void entry_core::handle(instant now, const std::string& from, const entry_beat_ack& ack)
+{
+    ownership_.on_beat_ack(now, from, ack);
+    apply_ownership(now);
+}
+
+void entry_core::handle(instant now, const std::string& from, const worker_list_request& request)
+{
+    const auto known_for = std::chrono::duration_cast<std::chrono::milliseconds>(now - started_);
+    send(from, worker_list_reply{request.request, static_cast<std::uint64_t>(known_for.count()),
+                                 directory_.known_incarnations()});
+}
+
+void entry_core::handle(instant now, const std::string& from, const worker_list_reply& reply)
+{
+    for (auto& round : recoveries_)
+        round.on_worker_list(from, reply);
+    run_recoveries(now);
+}
+
+void entry_core::handle(instant now, const std::string& from, const table_update& update)
+{
+    ownership_.on_table(now, update.table, from);
+    apply_ownership(now);
+}
+
+void entry_core::handle(instant now, const std::string&, const config_update& update)
+{
+    on_config(now, update.version, update.document);
+}
+
+void entry_core::handle(instant now, const std::string& from, const forward_submit& forwarded)
+{
+    submit(now, {0, from, forwarded.request, std::nullopt}, forwarded.job);
+}
+
+void entry_core::handle(instant, const std::string&, const forward_answer& reply)
+{
+    const auto pending = forwards_.find(reply.request);
+    if (pending == forwards_.end())
+    {
+        ++counters_.messages_wasted;
+        return;
+    }
+    if (reply.pending)
+        effects_.emplace_back(reply_to_caller{pending->second.from.caller, std::nullopt});
+    else
+        deliver(pending->second.from, reply.reply);
+    forwards_.erase(pending);
+}
+
+void entry_core::handle(instant now, const std::string& from, const forward_control& forwarded)
+{
+    std::optional<instant> until;
+    if (forwarded.query)
+        until = now + std::chrono::milliseconds(forwarded.wait_ms);
+    control(now, {0, from, forwarded.request, until}, forwarded.job, forwarded.query);
+}
+
+void entry_core::handle(instant now, const std::string& from, const handover& transfer)
+{
+    for (const auto& record : transfer.records)
+    {
+        if (record.finished)
+        {
+            registry_.add_remote(now, record.id, record.digest, from);
+            registry_.finish(now, record.reply);
+        }
+        else
+            registry_.add_remote(now, record.id, record.digest, from);
+    }
+    ownership_.activate(transfer.shards);
+    retry_held(now);
+}
+
+// ---- shards ----------------------------------------------------------------------------------
+
+void entry_core::on_store_table(instant now, const shard_table& table, std::int64_t revision)
+{
+    ownership_.on_store_table(now, table, revision);
+    apply_ownership(now);
+}
+
+void entry_core::on_store_entry(const std::string& name, std::optional<std::uint64_t> incarnation)
+{
+    ownership_.on_store_entry(name, incarnation);
+}
+
+void entry_core::on_store_read(instant now)
+{
+    ownership_.on_store_read(now);
+}
+
+void entry_core::on_swap_done(instant now, bool swapped, const swap_table& request,
+                              std::int64_t revision)
+{
+    ownership_.on_swap_done(now, swapped, request, revision);
+    apply_ownership(now);
+}
+
+void entry_core::on_swap_unknown(instant now)
+{
+    ownership_.on_swap_unknown();
+    apply_ownership(now);
+}
+
+void entry_core::apply_ownership(instant now)
+{
+    for (auto& item : ownership_.take_messages())
+        send(item.to, std::move(item.body));
+    if (auto swap = ownership_.take_swap())
+        effects_.emplace_back(std::move(*swap));
+    hand_over(ownership_.take_moved());
+    for (const auto shard : ownership_.take_lost())
+        dispatcher_->on_right_lost(now, shard);
+    start_recoveries(now);
+    run_recoveries(now);
+    collect(now);
+}
+
+void entry_core::hand_over(const std::vector<moved_shards>& moved)
+{
+    for (const auto& [to, shards] : moved)
+    {
+        handover transfer{ownership_.table().version, shards, registry_.records_of(shards)};
+        for (const auto& record : transfer.records)
+        {
+            if (dispatcher_->in_progress(record.id))
+                handed_over_[record.id] = to;
+        }
+        send(to, std::move(transfer));
+    }
+}
+
+void entry_core::start_recoveries(instant now)
+{
+    std::vector<shard_epoch> shards;
+    for (const auto shard : ownership_.shards_to_recover(now))
+    {
+        const auto epoch = ownership_.epoch(shard);
+        const bool begun =
+            std::any_of(recoveries_.begin(), recoveries_.end(),
+                        [&](const recovery& round)
+                        {
+                            const auto& covered = round.shards();
+                            return std::find(covered.begin(), covered.end(),
+                                             shard_epoch{shard, epoch}) != covered.end();
+                        });
+        if (!begun)
+            shards.push_back({shard, epoch});
+    }
+    if (shards.empty())
+        return;
+    ++counters_.takeovers;
+    recovery_options options;
+    options.wait = options_.recovery_wait;
+    options.majority = ownership_.majority();
+    std::vector<std::string> others;
+    std::copy_if(options_.entries.begin(), options_.entries.end(), std::back_inserter(others),
+                 [&](const auto& name) { return name != options_.self.name; });
+    auto& round = recoveries_.emplace_back(options, now, next_request_++,
+                                           ownership_.table().version, std::move(shards));
+    const bool fencing = options_.ownership.mechanisms.fence;
+    round.begin(now, others, fencing ? directory_.known_incarnations() : std::vector<process_id>(),
+                now - started_);
+}
+
+void entry_core::run_recoveries(instant now)
+{
+    bool activated = false;
+    for (auto& round : recoveries_)
+    {
+        round.on_tick(now);
+        for (auto& [worker, record] : round.take_records())
+            registry_.add_recovered(now, worker, record);
+        const bool fencing = options_.ownership.mechanisms.fence;
+        for (auto& item : round.take_messages())
+        {
+            const bool is_fence = std::holds_alternative<fence_shards>(item.body);
+            if (fencing || !is_fence)
+                send(item.to, std::move(item.body));
+        }
+        if (!(round.ready(now) || (!fencing && round.known_for().count() > 0)) ||
+            !ownership_.older_leases_over(now, round.table_version()))
+            continue;
+        std::vector<std::uint32_t> shards;
+        for (const auto& [shard, epoch] : round.shards())
+        {
+            const bool waiting = ownership_.state(shard) == shard_state::preparing &&
+                                 ownership_.epoch(shard) == epoch;
+            if (waiting)
+                shards.push_back(shard);
+        }
+        ownership_.activate(shards);
+        activated = activated || !shards.empty();
+    }
+    // A round is of use as long as jobs from before it may be asked for.
+    recoveries_.remove_if([&](const recovery& round)
+                          { return now - round.started() > options_.record_window; });
+    if (activated)
+        retry_held(now);
+}
+
+// ---- workers ---------------------------------------------------------------------------------
+
+void entry_core::on_peer_connected(instant now, const std::string& peer)
+{
+    now_ = now;
+    for (auto& [request, pending] : forwards_)
+        pending.lost = pending.lost || pending.target == peer;
+}
+
+void entry_core::on_peer_lost(instant now, const std::string& peer)
+{
+    now_ = now;
+    directory_.on_lost(now, peer);
+    for (auto& [request, pending] : forwards_)
+        pending.lost = pending.lost || pending.target == peer;
+}
+
+void entry_core::handle(instant now, const std::string& from, const announce& notice)
+{
+    const auto [worker, restarted] = directory_.on_announce(now, from, notice);
+    dispatcher_->on_worker_back(now, worker, restarted);
+    for (auto& round : recoveries_)
+        round.on_worker_connected(directory_.at(worker).id);
+    run_recoveries(now);
+    tell_status(from);
+}
+
+void entry_core::tell_status(const std::string& worker)
+{
+    const auto index = directory_.find(worker);
+    const auto through = index ? directory_.at(*index).results_through : 0;
+    send(worker, entry_status{config_version_, through, leaving_});
+}
+
+void entry_core::handle(instant now, const std::string& from, const task_results& results)
+{
+    const auto worker = directory_.on_load(now, from, results.load);
+    if (!worker || results.sequence <= directory_.at(*worker).results_through)
+    {
+        ++counters_.messages_wasted;
+        return;
+    }
+    directory_.at(*worker).results_through = results.sequence;
+    note_outcomes(now, from, results.outcomes);
+    dispatcher_->on_results(now, *worker, results.outcomes);
+}
+
+void entry_core::note_outcomes(instant now, const std::string& worker,
+                               const std::vector<task_outcome>& outcomes)
+{
+    for (const auto& outcome : outcomes)
+        registry_.add_outcome(now, worker, outcome);
+}
+
+void entry_core::handle(instant now, const std::string& from, const load_report& report)
+{
+    const auto worker = directory_.on_load(now, from, report.load);
+    if (!worker)
+    {
+        ++counters_.messages_wasted;
+        return;
+    }
+    // An offer that nothing waits for ends the agent's belief that tasks wait here.
+    const bool was_told = std::exchange(directory_.at(*worker).told_backlog, false);
+    if (was_told && dispatcher_->waiting_tasks() == 0)
+        ++counters_.messages_wasted;
+    if (!was_told)
+        tell_status(from);
+}
+
+void entry_core::handle(instant now, const std::string& from, const query_reply& reply)
+{
+    const auto worker = directory_.on_load(now, from, reply.load);
+    if (!worker)
+        return;
+    note_outcomes(now, from, reply.outcomes);
+    dispatcher_->on_results(now, *worker, reply.outcomes);
+}
+
+void entry_core::handle(instant now, const std::string& from, const fence_reply& reply)
+{
+    for (auto& round : recoveries_)
+        round.on_fence_reply(from, reply);
+    run_recoveries(now);
+}
+
+// ---- versions and time -----------------------------------------------------------------------
+
+bool entry_core::on_config(instant now, std::uint64_t version, const std::string& document)
+{
+    if (version <= config_version_)
+        return false;
+    diagnostics faults;
+    auto parsed = declarations::parse(document, "declarations", faults);
+    if (!parsed)
+        return false;
+    config_ = std::make_shared<const declarations>(std::move(parsed).value());
+    config_version_ = version;
+    config_document_ = document;
+    ownership_.set_config_version(version);
+    dispatcher_->use(now, version, config_);
+    for (const auto& worker : directory_.workers())
+    {
+        if (worker.connected)
+            tell_status(worker.id.name);
+    }
+    dispatcher_->pump(now);
+    collect(now);
+    return true;
+}
+
+void entry_core::on_tick(instant now)
+{
+    now_ = now;
+    ownership_.on_tick(now);
+    apply_ownership(now);
+    directory_.on_tick(now);
+    dispatcher_->on_tick(now);
+    repeat_forwards(now);
+    retry_held(now);
+    expire_waiters(now);
+    registry_.expire(now);
+    dispatcher_->pump(now);
+    collect(now);
+}
+
+void entry_core::drain(instant now)
+{
+    leaving_ = true;
+    ownership_.leave(now);
+    apply_ownership(now);
+}
+
+bool entry_core::ready(instant now) const
+{
+    const bool has_table = !ownership_.table().owners.empty();
+    return !leaving_ && config_ && has_table && ownership_.holds_lease(now);
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/process/entry_daemon.cpp
@@ -0,0 +1,434 @@
+#include "tarragonlock/process/entry_daemon.hpp"
+
+#include "process/entry_status.hpp"
+#include "tarragonlock/common/log.hpp"
+#include "tarragonlock/common/mailbox.hpp"
+#include "tarragonlock/connection/caller_server.hpp"
+#include "tarragonlock/connection/codec.hpp"
+#include "tarragonlock/connection/link.hpp"
+#include "tarragonlock/process/entry_core.hpp"
+#include "tarragonlock/process/service_levels.hpp"
+#include "tarragonlock/version/store_client.hpp"
+#include "tarragonlock/version/team_tokens.hpp"
+
+#include <future>
+#include <random>
+#include <set>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+constexpr auto tick_interval = std::chrono::milliseconds(20);
+/// Time between the end of readiness and the end of listening; balancers look every second or so.
+constexpr auto balancer_notice = std::chrono::seconds(2);
+constexpr auto longest_shutdown = std::chrono::seconds(60);
+
+const std::string store_prefix = "tarragonlock/";
+const std::string table_key = store_prefix + "table";
+const std::string config_key = store_prefix + "config";
+const std::string entries_prefix = store_prefix + "entries/";
+
+/// A caller's request with the place for its answer.
+struct caller_call
+{
+    caller_request request;
+    std::shared_ptr<std::promise<caller_response>> promise;
+};
+
+/// A question about the entry's state, answered on its own task.
+struct inspection
+{
+    std::function<std::string(instant)> ask;
+    std::shared_ptr<std::promise<std::string>> promise;
+};
+
+using entry_event = std::variant<link_event, store_event, caller_call, inspection>;
+
+std::uint64_t new_incarnation()
+{
+    std::random_device device;
+    // 40 bits leave room for the counters that are built on the incarnation.
+    const std::uint64_t random = (static_cast<std::uint64_t>(device()) << 32U) | device();
+    return (random & 0xffffffffffU) | 1U;
+}
+
+entry_options options_from(const entry_settings& settings, const process_id& self)
+{
+    entry_options options;
+    options.self = self;
+    for (const auto& entry : settings.entries)
+        options.entries.push_back(entry.name);
+    options.placement = settings.placement;
+    options.ejection.enabled = settings.ejection;
+    options.ownership.lease = std::chrono::milliseconds(settings.lease_ms);
+    options.ownership.lease_margin = options.ownership.lease / 4;
+    options.ownership.beat_interval = options.ownership.lease / 8;
+    options.record_window = std::chrono::seconds(settings.record_window_s);
+    options.result_bytes = static_cast<std::size_t>(settings.result_mb) << 20U;
+    options.wall_offset = wall_clock_now() - std::chrono::duration_cast<unix_milliseconds>(
+                                                 process_clock::now().time_since_epoch());
+    return options;
+}
+
+class entry_task : public entry_daemon
+{
+public:
+    entry_task(const entry_settings& settings, process_id self, std::unique_ptr<entry_core> core)
+        : settings_(settings), self_(std::move(self)), core_(std::move(core))
+    {
+    }
+
+    std::error_code open()
+    {
+        link_options link_settings;
+        link_settings.self = self_;
+        link_settings.listen = settings_.listen_peers;
+        link_settings.silence_limit = std::chrono::milliseconds(settings_.silence_ms);
+        auto opened = link::open(link_settings, [this](link_event event)
+                                 { events_.post(entry_event(std::move(event))); });
+        if (!opened)
+            return opened.error();
+        link_ = std::move(opened).value();
+        for (const auto& entry : settings_.entries)
+        {
+            // One of two entries dials, so that they don't replace each other's connections.
+            if (settings_.name < entry.name)
+                link_->keep_connected(entry.name, entry.address);
+        }
+        store_options store_settings;
+        store_settings.addresses = settings_.store_addresses;
+        store_ = std::make_unique<store_client>(store_settings, [this](store_event event)
+                                                { events_.post(entry_event(std::move(event))); });
+        store_->keep_registered(entries_prefix + settings_.name, std::to_string(self_.incarnation));
+        auto server = caller_server::open(
+            {settings_.listen_http, settings_.http_threads, settings_.max_body_bytes}, backend());
+        if (!server)
+            return server.error();
+        server_ = std::move(server).value();
+        return {};
+    }
+
+    void run(const std::atomic<bool>& stop) override
+    {
+        log_event(log_level::info, "started",
+                  {{"http", settings_.listen_http}, {"peers", settings_.listen_peers}});
+        while (!stop)
+            step();
+        shut_down();
+    }
+
+private:
+    void step()
+    {
+        if (auto event = events_.receive(tick_interval))
+        {
+            handle_one(std::move(*event));
+            for (auto& more : events_.drain())
+                handle_one(std::move(more));
+        }
+        const auto now = process_clock::now();
+        if (now - last_tick_ >= tick_interval)
+        {
+            last_tick_ = now;
+            core_->on_tick(now);
+            ready_ = core_->ready(now);
+            carry_out();
+        }
+    }
+
+    void handle_one(entry_event event)
+    {
+        std::visit([this](auto& body) { handle(std::move(body)); }, event);
+        carry_out();
+    }
+
+    /// Readiness ends first, then shards go to other entries, then the jobs here end.
+    void shut_down()
+    {
+        log_event(log_level::info, "draining");
+        const auto began = process_clock::now();
+        core_->drain(began);
+        carry_out();
+        while (true)
+        {
+            step();
+            const auto passed = process_clock::now() - began;
+            if ((passed >= balancer_notice && core_->idle()) || passed >= longest_shutdown)
+                break;
+        }
+        std::atomic<bool> closed{false};
+        // Requests in progress still need this task while the server waits for them.
+        std::thread closer(
+            [&]
+            {
+                server_->stop();
+                closed = true;
+            });
+        while (!closed || !core_->idle())
+            step();
+        closer.join();
+        store_->unregister();
+        store_.reset();
+        log_event(log_level::info, "stopped");
+    }
+
+    // ---- events --------------------------------------------------------------------------
+
+    void handle(link_event event)
+    {
+        const auto now = process_clock::now();
+        if (auto* received = std::get_if<message_received>(&event))
+            core_->on_message(now, received->from, received->body);
+        else if (const auto* up = std::get_if<peer_connected>(&event))
+            core_->on_peer_connected(now, up->peer.name);
+        else if (const auto* down = std::get_if<peer_lost>(&event))
+        {
+            log_event(log_level::warn, "peer_lost", {{"peer", down->peer}});
+            core_->on_peer_lost(now, down->peer);
+        }
+    }
+
+    void handle(store_event event)
+    {
+        const auto now = process_clock::now();
+        if (auto* snapshot = std::get_if<store_snapshot>(&event))
+            take_snapshot(now, *snapshot);
+        else if (const auto* change = std::get_if<store_change>(&event))
+            take_change(now, *change);
+        else if (const auto* swapped = std::get_if<swap_result>(&event))
+            take_swap(now, *swapped);
+    }
+
+    void take_snapshot(instant now, const store_snapshot& snapshot)
+    {
+        std::set<std::string> present;
+        for (const auto& item : snapshot.items)
+        {
+            present.insert(item.key);
+            take_change(now, {item.key, item});
+        }
+        for (const auto& entry : settings_.entries)
+        {
+            if (!present.contains(entries_prefix + entry.name))
+                core_->on_store_entry(entry.name, std::nullopt);
+        }
+        core_->on_store_read(now);
+    }
+
+    void take_change(instant now, const store_change& change)
+    {
+        if (change.key.starts_with(entries_prefix))
+        {
+            std::optional<std::uint64_t> incarnation;
+            if (change.item)
+                incarnation = std::strtoull(change.item->value.c_str(), nullptr, 10);
+            core_->on_store_entry(change.key.substr(entries_prefix.size()), incarnation);
+        }
+        if (!change.item)
+            return;
+        if (change.key == table_key)
+            take_table(now, *change.item);
+        if (change.key == config_key)
+            take_config(now, *change.item);
+    }
+
+    void take_table(instant now, const store_item& item)
+    {
+        if (const auto table = decode_table(item.value))
+            core_->on_store_table(now, table.value(), item.revision);
+        else
+            log_event(log_level::error, "table_unreadable", {{"error", table.error().message()}});
+    }
+
+    /// The revision is the version: it only grows, and every change of the key has its own.
+    void take_config(instant now, const store_item& item)
+    {
+        const auto version = static_cast<std::uint64_t>(item.revision);
+        if (version <= core_->config_version())
+            return;
+        const bool in_force = core_->on_config(now, version, item.value);
+        log_event(in_force ? log_level::info : log_level::error,
+                  in_force ? "config_in_force" : "config_rejected", {{"version", item.revision}});
+    }
+
+    void take_swap(instant now, const swap_result& outcome)
+    {
+        if (outcome.request != swap_request_)
+            return;
+        if (outcome.in_doubt)
+            return core_->on_swap_unknown(now);
+        if (outcome.current)
+            take_table(now, *outcome.current);
+        core_->on_swap_done(now, outcome.swapped, swap_, outcome.revision);
+    }
+
+    void handle(caller_call call)
+    {
+        const auto now = process_clock::now();
+        const auto token = ++next_caller_;
+        auto& request = call.request;
+        if (request.what == caller_request::kind::submit_new)
+            request.job.id = core_->mint_id();
+        const auto id = request.job.id;
+        waiting_[token] = {id, std::move(call.promise), now, request.job.service, request.job.team};
+        if (request.what == caller_request::kind::query)
+            return core_->on_query(now, token, id, request.wait);
+        if (request.what == caller_request::kind::cancel)
+            return core_->on_cancel(now, token, id);
+        waiting_[token].measured = true;
+        if (core_->config() && !token_allows(*core_->config(), request.job.team, request.token))
+            return reply(token, answer{id, outcome::refused, reason::unauthorized, {}, 0});
+        if (core_->config())
+            waiting_[token].urgency =
+                core_->config()->route(core_->config()->work_labels(request.job)).urgency;
+        core_->on_submit(now, token, std::move(request.job), request.wait);
+    }
+
+    void handle(const inspection& question)
+    {
+        question.promise->set_value(question.ask(process_clock::now()));
+    }
+
+    // ---- effects -------------------------------------------------------------------------
+
+    void carry_out()
+    {
+        for (auto& effect : core_->take_effects())
+            std::visit([this](auto& body) { apply(std::move(body)); }, effect);
+    }
+
+    void apply(send_message outgoing) { link_->send(outgoing.to, std::move(outgoing.body)); }
+
+    void apply(reply_to_caller outgoing) { reply(outgoing.caller, std::move(outgoing.reply)); }
+
+    void apply(swap_table wanted)
+    {
+        swap_ = wanted;
+        log_event(log_level::info, "table_proposed",
+                  {{"version", static_cast<std::int64_t>(wanted.table.version)}});
+        store_->swap(++swap_request_, table_key, wanted.expected_revision,
+                     encode_table(wanted.table));
+    }
+
+    void reply(caller_token token, std::optional<answer> answered)
+    {
+        const auto found = waiting_.find(token);
+        if (found == waiting_.end())
+            return;
+        const auto& caller = found->second;
+        if (caller.measured && answered)
+            record(caller, *answered);
+        caller.promise->set_value({caller.id, std::move(answered)});
+        waiting_.erase(found);
+    }
+
+    struct waiting_caller
+    {
+        std::string id;
+        std::shared_ptr<std::promise<caller_response>> promise;
+        instant since;
+        std::string service;
+        std::string team;
+        std::uint32_t urgency = 0;
+        bool measured = false;
+    };
+
+    void record(const waiting_caller& caller, const answer& answered)
+    {
+        const auto now = process_clock::now();
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - caller.since);
+        const auto* service =
+            core_->config() ? core_->config()->find_service(caller.service) : nullptr;
+        levels_.record(now, {caller.service, caller.team, caller.urgency},
+                       service ? service->objective : service_objective{}, answered.outcome, took);
+        log_event(answered.outcome == outcome::complete ? log_level::debug : log_level::info,
+                  "answered",
+                  {{"job", answered.id},
+                   {"outcome", std::string(to_string(answered.outcome))},
+                   {"reason", std::string(to_string(answered.reason))},
+                   {"took_ms", took.count()},
+                   {"config_version", static_cast<std::int64_t>(core_->config_version())}});
+    }
+
+    // ---- front end -----------------------------------------------------------------------
+
+    caller_backend backend()
+    {
+        caller_backend front;
+        front.ask = [this](caller_request request)
+        {
+            auto promise = std::make_shared<std::promise<caller_response>>();
+            auto answered = promise->get_future();
+            events_.post(entry_event(caller_call{std::move(request), std::move(promise)}));
+            return answered.get();
+        };
+        front.ready = [this] { return ready_.load(); };
+        front.metrics = [this]
+        {
+            return inspect(
+                [this](instant) {
+                    return entry_metrics(*core_, link_->counters(), store_->calls()) +
+                           levels_.metrics();
+                });
+        };
+        front.status = [this]
+        {
+            return inspect([this](instant now)
+                           { return entry_status_json(*core_, settings_, levels_, now); });
+        };
+        front.drain = [this]
+        {
+            inspect(
+                [this](instant now)
+                {
+                    core_->drain(now);
+                    return std::string();
+                });
+        };
+        front.describe_job = [this](const std::string& id)
+        { return inspect([this, id](instant) { return core_->describe(id); }); };
+        return front;
+    }
+
+    std::string inspect(std::function<std::string(instant)> ask)
+    {
+        auto promise = std::make_shared<std::promise<std::string>>();
+        auto answered = promise->get_future();
+        events_.post(entry_event(inspection{std::move(ask), std::move(promise)}));
+        return answered.get();
+    }
+
+    entry_settings settings_;
+    process_id self_;
+    std::unique_ptr<entry_core> core_;
+    mailbox<entry_event> events_;
+    std::unique_ptr<link> link_;
+    std::unique_ptr<store_client> store_;
+    std::unique_ptr<caller_server> server_;
+    std::map<caller_token, waiting_caller> waiting_;
+    service_levels levels_;
+    caller_token next_caller_ = 0;
+    std::uint64_t swap_request_ = 0;
+    swap_table swap_;
+    instant last_tick_;
+    std::atomic<bool> ready_{false};
+};
+
+} // namespace
+
+result<std::unique_ptr<entry_daemon>> entry_daemon::create(const entry_settings& settings)
+{
+    const process_id self{settings.name, new_incarnation()};
+    auto core = entry_core::create(options_from(settings, self), process_clock::now());
+    if (!core)
+        return core.error();
+    auto task = std::make_unique<entry_task>(settings, self, std::move(core).value());
+    if (const auto error = task->open())
+        return error;
+    return std::unique_ptr<entry_daemon>(std::move(task));
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/process/settings.cpp
@@ -0,0 +1,154 @@
+#include "tarragonlock/process/settings.hpp"
+
+#include "common/yaml_reader.hpp"
+#include "connection/socket.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <sstream>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+constexpr std::array log_levels{"debug", "info", "warn", "error"};
+constexpr std::array placements{"earliest_finish", "random", "round_robin", "least_outstanding"};
+
+std::string read_address(yaml_reader& reader, std::string_view key)
+{
+    auto address = reader.required_text(key);
+    if (!address.empty() && !parse_address(address))
+        reader.fault(key, "must be an IP number and a port, as in 127.0.0.1:7100");
+    return address;
+}
+
+template<std::size_t N>
+std::string read_choice(yaml_reader& reader, std::string_view key,
+                        const std::array<const char*, N>& choices, std::string_view fallback)
+{
+    auto value = reader.text(key, fallback);
+    if (std::find(choices.begin(), choices.end(), value) != choices.end())
+        return value;
+    std::string known;
+    for (const auto* choice : choices)
+        known += known.empty() ? choice : std::string(", ") + choice;
+    reader.fault(key, "must be one of " + known);
+    return std::string(fallback);
+}
+
+std::uint32_t read_count(yaml_reader& reader, std::string_view key, std::int64_t fallback,
+                         std::int64_t least, std::int64_t most)
+{
+    return static_cast<std::uint32_t>(reader.integer(key, fallback, least, most));
+}
+
+log_settings read_log(yaml_reader& reader)
+{
+    auto log = reader.child("log");
+    log.allow_only({"level", "lines_per_second"});
+    return {read_choice(log, "level", log_levels, "info"),
+            read_count(log, "lines_per_second", 50, 1, 100'000)};
+}
+
+std::vector<peer_address> read_entries(yaml_reader& reader)
+{
+    std::vector<peer_address> entries;
+    for (auto& item : reader.items("entries"))
+    {
+        item.allow_only({"name", "address"});
+        entries.push_back({item.required_text("name"), read_address(item, "address")});
+    }
+    if (entries.empty())
+        reader.fault("entries", "at least one entry is required");
+    return entries;
+}
+
+} // namespace
+
+result<entry_settings> entry_settings::parse(const std::string& text, const std::string& file,
+                                             diagnostics& faults)
+{
+    const auto before = faults.size();
+    const auto invalid = std::make_error_code(std::errc::invalid_argument);
+    const auto root = yaml_reader::parse(text, file, faults);
+    if (!root)
+        return invalid;
+    yaml_reader reader(*root, file, "", faults);
+    reader.allow_only({"name", "failure_domain", "listen_peers", "listen_http", "entries", "store",
+                       "placement", "http_threads", "max_body_bytes", "record_window_s",
+                       "result_mb", "lease_ms", "silence_ms", "ejection", "log"});
+    entry_settings settings;
+    settings.name = reader.required_text("name");
+    settings.failure_domain = reader.required_text("failure_domain");
+    settings.listen_peers = read_address(reader, "listen_peers");
+    settings.listen_http = read_address(reader, "listen_http");
+    settings.entries = read_entries(reader);
+    settings.store_addresses = reader.list("store");
+    settings.placement = read_choice(reader, "placement", placements, "earliest_finish");
+    settings.http_threads = read_count(reader, "http_threads", 256, 4, 4096);
+    settings.max_body_bytes = read_count(reader, "max_body_bytes", 4'194'304, 1024, 6'291'456);
+    settings.record_window_s = read_count(reader, "record_window_s", 600, 10, 86'400);
+    settings.result_mb = read_count(reader, "result_mb", 64, 1, 4096);
+    settings.lease_ms = read_count(reader, "lease_ms", 2000, 200, 60'000);
+    settings.silence_ms = read_count(reader, "silence_ms", 600, 100, 60'000);
+    settings.ejection = reader.boolean("ejection", true);
+    settings.log = read_log(reader);
+    if (settings.store_addresses.empty())
+        reader.fault("store", "at least one address of the key-value service is required");
+    const bool listed = std::any_of(settings.entries.begin(), settings.entries.end(),
+                                    [&](const auto& e) { return e.name == settings.name; });
+    if (!listed)
+        reader.fault("entries", "must list this entry's own name too");
+    if (faults.size() != before)
+        return invalid;
+    return settings;
+}
+
+result<agent_settings> agent_settings::parse(const std::string& text, const std::string& file,
+                                             diagnostics& faults)
+{
+    const auto before = faults.size();
+    const auto invalid = std::make_error_code(std::errc::invalid_argument);
+    const auto root = yaml_reader::parse(text, file, faults);
+    if (!root)
+        return invalid;
+    yaml_reader reader(*root, file, "", faults);
+    reader.allow_only({"name", "failure_domain", "labels", "listen_peers", "listen_http", "entries",
+                       "slots", "connections", "record_window_s", "record_mb",
+                       "announcement_lifetime_ms", "silence_ms", "log"});
+    agent_settings settings;
+    settings.name = reader.required_text("name");
+    settings.failure_domain = reader.required_text("failure_domain");
+    settings.labels = reader.scalars("labels");
+    settings.listen_peers = read_address(reader, "listen_peers");
+    settings.listen_http = read_address(reader, "listen_http");
+    settings.entries = read_entries(reader);
+    settings.slots = read_count(reader, "slots", 8, 1, 1024);
+    settings.connections = read_count(reader, "connections", 64, 1, 4096);
+    settings.record_window_s = read_count(reader, "record_window_s", 600, 10, 86'400);
+    settings.record_mb = read_count(reader, "record_mb", 64, 1, 4096);
+    settings.announcement_lifetime_ms =
+        read_count(reader, "announcement_lifetime_ms", 3000, 100, 600'000);
+    settings.silence_ms = read_count(reader, "silence_ms", 600, 100, 60'000);
+    settings.log = read_log(reader);
+    if (settings.connections < settings.slots)
+        reader.fault("connections", "must not be less than slots");
+    if (faults.size() != before)
+        return invalid;
+    return settings;
+}
+
+result<std::string> read_file(const std::string& path)
+{
+    const std::ifstream file(path, std::ios::binary);
+    if (!file)
+        return std::make_error_code(std::errc::no_such_file_or_directory);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/process/task_runner.cpp
@@ -0,0 +1,73 @@
+#include "process/task_runner.hpp"
+
+#include <httplib.h>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+constexpr auto connect_timeout = std::chrono::seconds(1);
+constexpr auto idle_wait = std::chrono::hours(1);
+
+/// Only a connection that was never made proves that the backend server got nothing.
+task_status status_of(const httplib::Result& answer)
+{
+    if (!answer)
+        return answer.error() == httplib::Error::Connection ? task_status::not_started
+                                                            : task_status::failed;
+    return answer->status >= 200 && answer->status < 300 ? task_status::succeeded
+                                                         : task_status::failed;
+}
+
+} // namespace
+
+task_runner::task_runner(std::size_t threads, sink on_finished)
+    : on_finished_(std::move(on_finished))
+{
+    for (std::size_t i = 0; i < threads; ++i)
+        threads_.emplace_back([this] { work(); });
+}
+
+task_runner::~task_runner()
+{
+    // A task without an address ends the thread that takes it.
+    for (std::size_t i = 0; i < threads_.size(); ++i)
+        tasks_.post({});
+    for (auto& thread : threads_)
+        thread.join();
+}
+
+void task_runner::work()
+{
+    std::string address;
+    std::unique_ptr<httplib::Client> client;
+    while (true)
+    {
+        const auto task = tasks_.receive(idle_wait);
+        if (!task)
+            continue;
+        if (task->address.empty())
+            return;
+        if (!client || address != task->address)
+        {
+            address = task->address;
+            client = std::make_unique<httplib::Client>(
+                address.starts_with("http") ? address : "http://" + address);
+            client->set_keep_alive(true);
+            client->set_tcp_nodelay(true);
+            client->set_connection_timeout(connect_timeout);
+        }
+        client->set_read_timeout(std::chrono::milliseconds(std::max(task->timeout_ms, 1U)));
+        const httplib::Headers headers{
+            {"Tarragonlock-Job-Id", task->attempt.job},
+            {"Tarragonlock-Task-Index", std::to_string(task->attempt.index)}};
+        const auto answer = client->Post("/task", headers, task->body, "application/octet-stream");
+        const auto status = status_of(answer);
+        on_finished_({task->attempt.job, task->attempt.index, task->attempt.attempt, status, 0,
+                      status == task_status::succeeded ? answer->body : std::string()});
+    }
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/process/task_runner.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "tarragonlock/common/mailbox.hpp"
+#include "tarragonlock/process/agent_core.hpp"
+
+#include <functional>
+#include <thread>
+#include <vector>
+
+namespace tarragonlock
+{
+
+/// Runs tasks on the backend server, one thread and one connection a slot.
+class task_runner
+{
+public:
+    using sink = std::function<void(task_outcome)>;
+
+    /// @param threads      tasks that may run at once
+    /// @param on_finished  called from the runner's threads
+    task_runner(std::size_t threads, sink on_finished);
+    ~task_runner();
+    task_runner(const task_runner&) = delete;
+    task_runner& operator=(const task_runner&) = delete;
+
+    void run(run_task task) { tasks_.post(std::move(task)); }
+
+private:
+    void work();
+
+    sink on_finished_;
+    mailbox<run_task> tasks_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/request/dispatcher.cpp
@@ -0,0 +1,374 @@
+#include "tarragonlock/request/dispatcher.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+answer refuse(const submission& job, reason why, double retry_after_ms = 0.0)
+{
+    return {job.id, outcome::refused, why, {}, static_cast<std::uint32_t>(retry_after_ms)};
+}
+
+constexpr double short_retry_ms = 1000.0;
+
+} // namespace
+
+dispatcher::dispatcher(dispatcher_options options, worker_directory& directory,
+                       std::unique_ptr<placement_strategy> placement, right_check may_start)
+    : options_(options), directory_(directory), placement_(std::move(placement)),
+      may_start_(std::move(may_start))
+{
+}
+
+void dispatcher::use(instant now, std::uint64_t version, std::shared_ptr<const declarations> config)
+{
+    config_version_ = version;
+    config_ = std::move(config);
+    directory_.use(config_);
+    queue_.clear();
+    std::vector<job_handle> waiting;
+    for (const auto& [handle, state] : jobs_)
+        waiting.push_back(handle);
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto handle : waiting)
+    {
+        auto& state = jobs_.at(handle);
+        if (config_->find_service(state.job.service) == nullptr)
+        {
+            finish(now, handle, state.any_sent ? outcome::failed : outcome::refused,
+                   reason::unknown_service);
+            continue;
+        }
+        route(state);
+        if (!state.parked)
+            enqueue(handle, static_cast<std::uint32_t>(state.order.size()));
+    }
+}
+
+void dispatcher::route(job_state& state)
+{
+    const auto rule = config_->route(config_->work_labels(state.job));
+    state.urgency = rule.urgency;
+    state.pool = directory_.pool_for(state.job.service, rule);
+}
+
+std::optional<answer> dispatcher::refusal(const submission& job)
+{
+    if (!config_)
+        return refuse(job, reason::not_ready, short_retry_ms);
+    const auto* service = config_->find_service(job.service);
+    if (service == nullptr)
+        return refuse(job, reason::unknown_service);
+    const auto* team = config_->find_team(job.team);
+    if (team == nullptr && job.team != default_team)
+        return refuse(job, reason::unauthorized);
+    const auto rule = config_->route(config_->work_labels(job));
+    const auto pool = directory_.pool_for(job.service, rule);
+    const auto& members = directory_.pool(pool).members;
+    const auto usable = [&](worker_index worker)
+    { return directory_.at(worker).connected && !directory_.at(worker).leaving; };
+    if (members.empty())
+        return refuse(job, reason::no_matching_worker);
+    if (std::none_of(members.begin(), members.end(), usable))
+        return refuse(job, reason::no_matching_worker, short_retry_ms);
+    const auto tasks = static_cast<std::uint32_t>(job.tasks.size());
+    if (queue_.waiting(pool) + tasks > service->max_queued_tasks)
+        return refuse(job, reason::queue_full, short_retry_ms);
+    const std::uint32_t quota = team ? team->max_queued_tasks : service->max_queued_tasks;
+    const auto waiting = queue_.waiting_of_team(job.team);
+    if (waiting + tasks > quota)
+        return refuse(job, reason::quota_exceeded, short_retry_ms);
+    // The team's own queue, run by the whole pool, is the least time that passes first.
+    const auto& speeds = directory_.pool(pool).speeds;
+    if (speeds.empty() || waiting == 0)
+        return std::nullopt;
+    const auto estimate = estimates_.find(job.service);
+    const double mean_ms = estimate == estimates_.end() ? 0.0 : estimate->second.mean_ms;
+    const double wait_ms = waiting * mean_ms / speeds.back().cumulative_rate;
+    if (wait_ms > job.deadline_ms)
+        return refuse(job, reason::deadline_unreachable, wait_ms - job.deadline_ms);
+    return std::nullopt;
+}
+
+void dispatcher::admit(instant now, submission job, start_right right,
+                       const std::vector<std::pair<std::string, task_outcome>>& known)
+{
+    const auto handle = next_handle_++;
+    auto& state = jobs_[handle];
+    state.digest = digest_of(job);
+    state.right = right;
+    state.admitted = now;
+    state.deadline = now + std::chrono::milliseconds(job.deadline_ms);
+    state.tasks.resize(job.tasks.size());
+    state.job = std::move(job);
+    state.unfinished = static_cast<std::uint32_t>(state.tasks.size());
+    state.runs_until = now;
+    by_id_[state.job.id] = handle;
+    deadlines_.insert({state.deadline, handle});
+    ++counters_.jobs_admitted;
+    route(state);
+    for (const auto& [worker, outcome] : known)
+    {
+        if (outcome.index >= state.tasks.size())
+            continue;
+        auto& task = state.tasks[outcome.index];
+        task.attempt = outcome.attempt;
+        state.any_sent = true;
+        if (outcome.status == task_status::not_started)
+            continue;
+        task.state = task_state::sent;
+        task.worker = directory_.find(worker).value_or(0);
+    }
+    for (std::uint32_t i = 0; i < state.tasks.size(); ++i)
+    {
+        if (state.tasks[i].state == task_state::waiting)
+            state.order.push_back(i);
+    }
+    // The longest go first, so that no long task starts when the others are over.
+    std::stable_sort(state.order.begin(), state.order.end(),
+                     [&](std::uint32_t a, std::uint32_t b)
+                     { return state.job.tasks[a].declared_ms < state.job.tasks[b].declared_ms; });
+    enqueue(handle, static_cast<std::uint32_t>(state.order.size()));
+    for (const auto& [worker, outcome] : known)
+    {
+        const bool ended =
+            outcome.status == task_status::succeeded || outcome.status == task_status::failed;
+        if (const auto index = directory_.find(worker); index && ended && jobs_.contains(handle))
+            apply(now, *index, outcome);
+    }
+}
+
+void dispatcher::enqueue(job_handle handle, std::uint32_t tasks)
+{
+    if (tasks == 0)
+        return;
+    const auto& state = jobs_.at(handle);
+    const auto* team = config_->find_team(state.job.team);
+    queue_.push(state.pool, state.job.team, team ? team->weight : 1.0, state.urgency, handle,
+                tasks);
+}
+
+void dispatcher::on_results(instant now, worker_index worker,
+                            const std::vector<task_outcome>& outcomes)
+{
+    for (const auto& outcome : outcomes)
+        apply(now, worker, outcome);
+}
+
+void dispatcher::apply(instant now, worker_index worker, const task_outcome& outcome)
+{
+    const auto found = by_id_.find(outcome.job);
+    if (found == by_id_.end())
+    {
+        directory_.on_ended(now, worker, outcome, 0.0);
+        return;
+    }
+    const auto handle = found->second;
+    auto& state = jobs_.at(handle);
+    if (outcome.index >= state.tasks.size() || outcome.status == task_status::running)
+        return;
+    auto& task = state.tasks[outcome.index];
+    if (task.state != task_state::sent || task.attempt != outcome.attempt || task.worker != worker)
+        return;
+    const double expected = expected_ms(state, outcome.index);
+    directory_.on_ended(now, worker, outcome, expected);
+    switch (outcome.status)
+    {
+    case task_status::succeeded:
+        ++counters_.tasks_succeeded;
+        budget_.on_success();
+        learn(state.job.service, outcome.run_ms / std::exp(directory_.at(worker).log_slowness));
+        queue_.charge(state.job.team, outcome.run_ms - expected);
+        task.state = task_state::succeeded;
+        task.result = outcome.body;
+        if (--state.unfinished == 0)
+            finish(now, handle, outcome::complete, reason::none);
+        return;
+    case task_status::not_started:
+        ++counters_.tasks_not_started;
+        queue_.charge(state.job.team, -expected);
+        retry(handle, outcome.index);
+        return;
+    case task_status::failed:
+        ++counters_.tasks_failed;
+        if (!state.job.idempotent || !budget_.take())
+            return finish(now, handle, outcome::failed, reason::task_failed);
+        ++counters_.tasks_retried;
+        retry(handle, outcome.index);
+        return;
+    case task_status::running:
+        return;
+    }
+}
+
+/// Puts a task back that certainly did not start, or that may start again.
+void dispatcher::retry(job_handle handle, std::uint32_t index)
+{
+    auto& state = jobs_.at(handle);
+    auto& task = state.tasks[index];
+    task.state = task_state::waiting;
+    ++task.attempt;
+    state.order.push_back(index);
+    if (state.parked)
+        return;
+    enqueue(handle, 1);
+}
+
+/// Handles a task whose worker will never tell what became of it.
+void dispatcher::lose_task(instant now, job_handle handle, std::uint32_t index)
+{
+    const auto& state = jobs_.at(handle);
+    const bool may_repeat = state.job.idempotent && budget_.take();
+    if (may_repeat || options_.restart_uncertain)
+    {
+        ++counters_.tasks_retried;
+        return retry(handle, index);
+    }
+    finish(now, handle, outcome::failed, reason::worker_lost);
+}
+
+template<class Visitor>
+void dispatcher::for_tasks_on(worker_index worker, Visitor visit)
+{
+    std::vector<std::pair<job_handle, std::uint32_t>> affected;
+    for (const auto& [handle, state] : jobs_)
+    {
+        for (std::uint32_t i = 0; i < state.tasks.size(); ++i)
+        {
+            if (state.tasks[i].state == task_state::sent && state.tasks[i].worker == worker)
+                affected.emplace_back(handle, i);
+        }
+    }
+    std::sort(affected.begin(), affected.end());
+    for (const auto& [handle, index] : affected)
+    {
+        if (jobs_.contains(handle))
+            visit(handle, index);
+    }
+}
+
+void dispatcher::on_worker_back(instant now, worker_index worker, bool restarted)
+{
+    directory_.at(worker).outstanding = 0;
+    query_tasks question;
+    for_tasks_on(worker,
+                 [&](job_handle handle, std::uint32_t index)
+                 {
+                     if (restarted)
+                         return lose_task(now, handle, index);
+                     const auto& state = jobs_.at(handle);
+                     question.tasks.push_back({state.job.id, index, state.tasks[index].attempt});
+                 });
+    if (question.tasks.empty())
+        return;
+    directory_.at(worker).outstanding = static_cast<std::uint32_t>(question.tasks.size());
+    ++counters_.queries;
+    messages_.push_back({directory_.at(worker).id.name, std::move(question)});
+}
+
+void dispatcher::expire_lost_workers(instant now)
+{
+    for (worker_index worker = 0; worker < directory_.size(); ++worker)
+    {
+        const auto& view = directory_.at(worker);
+        if (view.connected || view.outstanding == 0 ||
+            now - view.lost_at < options_.worker_lost_after)
+            continue;
+        directory_.at(worker).outstanding = 0;
+        for_tasks_on(worker, [&](job_handle handle, std::uint32_t index)
+                     { lose_task(now, handle, index); });
+    }
+}
+
+bool dispatcher::cancel(instant now, const std::string& id)
+{
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end())
+        return false;
+    const auto handle = found->second;
+    const bool any_sent = jobs_.at(handle).any_sent;
+    finish(now, handle, any_sent ? outcome::failed : outcome::refused, reason::cancelled);
+    return true;
+}
+
+void dispatcher::on_right_lost(instant now, std::uint32_t shard)
+{
+    std::vector<job_handle> affected;
+    for (const auto& [handle, state] : jobs_)
+    {
+        if (state.right.shard == shard)
+            affected.push_back(handle);
+    }
+    for (const auto handle : affected)
+        finish(now, handle, outcome::unknown, reason::owner_unreachable);
+}
+
+void dispatcher::on_tick(instant now)
+{
+    expire_lost_workers(now);
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now)
+    {
+        const auto handle = deadlines_.begin()->second;
+        const bool any_sent = jobs_.at(handle).any_sent;
+        finish(now, handle, any_sent ? outcome::failed : outcome::refused, reason::deadline_passed);
+    }
+    unpark();
+}
+
+void dispatcher::finish(instant, job_handle handle, outcome what, reason why)
+{
+    auto& state = jobs_.at(handle);
+    queue_.remove(state.pool, state.job.team, handle);
+    answer reply{state.job.id, what, why, {}, 0};
+    if (what == outcome::complete)
+    {
+        for (auto& task : state.tasks)
+            reply.results.push_back(std::move(task.result));
+    }
+    else
+    {
+        std::vector<worker_index> told;
+        for (const auto& task : state.tasks)
+        {
+            if (task.state == task_state::sent)
+                told.push_back(task.worker);
+        }
+        std::sort(told.begin(), told.end());
+        told.erase(std::unique(told.begin(), told.end()), told.end());
+        for (const auto worker : told)
+            pending_cancels_[worker].push_back(state.job.id);
+    }
+    answers_.push_back(std::move(reply));
+    deadlines_.erase({state.deadline, handle});
+    by_id_.erase(state.job.id);
+    jobs_.erase(handle);
+}
+
+std::string dispatcher::describe(const std::string& id) const
+{
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end())
+        return {};
+    const auto& state = jobs_.at(found->second);
+    const auto waiting = state.order.size();
+    const auto done = state.tasks.size() - state.unfinished;
+    return "tasks=" + std::to_string(state.tasks.size()) + " waiting=" + std::to_string(waiting) +
+           " sent=" + std::to_string(state.unfinished - waiting) + " done=" + std::to_string(done) +
+           (state.parked ? " parked: no right to start" : "");
+}
+
+std::vector<send_message> dispatcher::take_messages()
+{
+    // One message an agent however many jobs were cancelled.
+    for (auto& [worker, jobs] : pending_cancels_)
+        messages_.push_back({directory_.at(worker).id.name, cancel_jobs{std::move(jobs)}});
+    pending_cancels_.clear();
+    return std::exchange(messages_, {});
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/request/placement.cpp
@@ -0,0 +1,122 @@
+#include "tarragonlock/request/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+/// Takes the fastest free worker, unless waiting for a faster one ends the task earlier.
+class earliest_finish : public placement_strategy
+{
+public:
+    std::optional<worker_index> choose(const worker_directory& directory,
+                                       const placement_request& request) override
+    {
+        const auto& pool = directory.pool(request.pool);
+        if (request.may_probe && !pool.probes.empty())
+            return *pool.probes.begin();
+        if (pool.free.empty())
+            return std::nullopt;
+        const auto& [log_slowness, worker] = *pool.free.begin();
+        const double rate = pool.rate_faster_than(log_slowness);
+        if (rate <= 0.0)
+            return worker;
+        // All waiting tasks, run by the faster workers only, end after
+        // expected * (waiting / rate + slowness of the fastest).
+        const double fastest = std::exp(pool.speeds.front().log_slowness);
+        const double by_faster = request.expected_ms * (request.waiting / rate + fastest);
+        const double here = request.expected_ms * std::exp(log_slowness);
+        if (here <= std::max(by_faster, request.job_runs_for_ms))
+            return worker;
+        return std::nullopt;
+    }
+};
+
+bool reachable(const worker_view& worker)
+{
+    return worker.connected && !worker.leaving;
+}
+
+class random_choice : public placement_strategy
+{
+public:
+    std::optional<worker_index> choose(const worker_directory& directory,
+                                       const placement_request& request) override
+    {
+        std::vector<worker_index> candidates;
+        for (const auto worker : directory.pool(request.pool).members)
+        {
+            if (reachable(directory.at(worker)))
+                candidates.push_back(worker);
+        }
+        if (candidates.empty())
+            return std::nullopt;
+        std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
+        return candidates[pick(engine_)];
+    }
+
+private:
+    std::mt19937_64 engine_{1};
+};
+
+class round_robin : public placement_strategy
+{
+public:
+    std::optional<worker_index> choose(const worker_directory& directory,
+                                       const placement_request& request) override
+    {
+        const auto& members = directory.pool(request.pool).members;
+        for (std::size_t tried = 0; tried < members.size(); ++tried)
+        {
+            const auto worker = members[next_++ % members.size()];
+            if (reachable(directory.at(worker)))
+                return worker;
+        }
+        return std::nullopt;
+    }
+
+private:
+    std::size_t next_ = 0;
+};
+
+class least_outstanding : public placement_strategy
+{
+public:
+    std::optional<worker_index> choose(const worker_directory& directory,
+                                       const placement_request& request) override
+    {
+        std::optional<worker_index> best;
+        for (const auto worker : directory.pool(request.pool).members)
+        {
+            const auto& view = directory.at(worker);
+            if (reachable(view) && (!best || view.outstanding < directory.at(*best).outstanding))
+                best = worker;
+        }
+        return best;
+    }
+};
+
+} // namespace
+
+result<std::unique_ptr<placement_strategy>> make_placement(std::string_view name)
+{
+    std::unique_ptr<placement_strategy> strategy;
+    if (name == "earliest_finish")
+        strategy = std::make_unique<earliest_finish>();
+    else if (name == "random")
+        strategy = std::make_unique<random_choice>();
+    else if (name == "round_robin")
+        strategy = std::make_unique<round_robin>();
+    else if (name == "least_outstanding")
+        strategy = std::make_unique<least_outstanding>();
+    else
+        return std::make_error_code(std::errc::invalid_argument);
+    return strategy;
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/version/ownership.cpp
@@ -0,0 +1,405 @@
+#include "tarragonlock/version/ownership.hpp"
+
+#include <algorithm>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+/// Beats remembered for their acknowledgements.
+constexpr std::size_t max_beats_remembered = 64;
+
+} // namespace
+
+ownership::ownership(ownership_options options, instant now)
+    : options_(std::move(options)), started_(now), last_beat_(now - options_.beat_interval)
+{
+    for (const auto& name : options_.entries)
+    {
+        if (name != options_.self.name)
+            peers_[name];
+    }
+}
+
+// ---- heartbeats and leases -------------------------------------------------------------------
+
+void ownership::send_beats(instant now)
+{
+    last_beat_ = now;
+    ++beat_sequence_;
+    beats_sent_[beat_sequence_] = now;
+    while (beats_sent_.size() > max_beats_remembered)
+        beats_sent_.erase(beats_sent_.begin());
+    const entry_beat beat{beat_sequence_, options_.self.incarnation, table_.version,
+                          config_version_, leaving_};
+    for (const auto& [name, peer] : peers_)
+        messages_.push_back({name, beat});
+}
+
+void ownership::on_beat(instant now, const std::string& from, const entry_beat& beat)
+{
+    const auto found = peers_.find(from);
+    if (found == peers_.end())
+        return;
+    auto& peer = found->second;
+    if (peer.incarnation != beat.incarnation)
+        peer = {.incarnation = beat.incarnation};
+    peer.heard = now;
+    peer.leaving = beat.leaving;
+    entry_beat_ack ack{beat.sequence, beat.incarnation, table_.version, true, false};
+    if (beat.table_version < table_.version)
+        messages_.push_back({from, table_update{table_}});
+    else if (informed())
+    {
+        ack.refused = false;
+        ack.older_leases_over = own_older_leases_over(now, table_.version);
+        acknowledged_versions_[beat.table_version] = now;
+    }
+    messages_.push_back({from, ack});
+}
+
+void ownership::on_beat_ack(instant, const std::string& from, const entry_beat_ack& ack)
+{
+    const auto found = peers_.find(from);
+    if (found == peers_.end() || ack.incarnation != options_.self.incarnation)
+        return;
+    auto& peer = found->second;
+    if (ack.table_version < table_.version)
+        messages_.push_back({from, table_update{table_}});
+    if (ack.refused)
+        return;
+    if (ack.older_leases_over)
+        peer.over_version = std::max(peer.over_version, ack.table_version);
+    if (const auto sent = beats_sent_.find(ack.sequence); sent != beats_sent_.end())
+    {
+        if (!peer.acknowledged || *peer.acknowledged < sent->second)
+            peer.acknowledged = sent->second;
+    }
+}
+
+/// An entry that has just started has forgotten what it acknowledged; it may acknowledge again once
+/// it has read the table as the service holds it now, or heard from a majority without itself.
+bool ownership::informed() const
+{
+    if (store_read_)
+        return true;
+    const auto tables = std::count_if(peers_.begin(), peers_.end(),
+                                      [](const auto& peer) { return peer.second.sent_table; });
+    return static_cast<std::size_t>(tables) >= majority();
+}
+
+bool ownership::holds_lease(instant now) const
+{
+    if (!options_.mechanisms.lease || majority() <= 1)
+        return true;
+    std::vector<instant> acknowledged;
+    for (const auto& [name, peer] : peers_)
+    {
+        if (peer.acknowledged)
+            acknowledged.push_back(*peer.acknowledged);
+    }
+    const auto needed = majority() - 1;
+    if (acknowledged.size() < needed)
+        return false;
+    std::sort(acknowledged.rbegin(), acknowledged.rend());
+    return now < acknowledged[needed - 1] + options_.lease;
+}
+
+bool ownership::own_older_leases_over(instant now, std::uint64_t version) const
+{
+    const auto wait = options_.lease + options_.lease_margin;
+    if (table_.version < version || now - started_ < wait)
+        return false;
+    return std::none_of(acknowledged_versions_.begin(), acknowledged_versions_.end(),
+                        [&](const auto& entry)
+                        { return entry.first < version && now - entry.second < wait; });
+}
+
+bool ownership::older_leases_over(instant now, std::uint64_t version) const
+{
+    if (!options_.mechanisms.vote)
+        return true;
+    std::size_t votes = own_older_leases_over(now, version) ? 1 : 0;
+    for (const auto& [name, peer] : peers_)
+        votes += peer.over_version >= version ? 1 : 0;
+    return votes >= majority();
+}
+
+bool ownership::is_heard(instant now, const std::string& name) const
+{
+    if (name == options_.self.name)
+        return true;
+    const auto found = peers_.find(name);
+    return found != peers_.end() && found->second.heard &&
+           now - *found->second.heard < options_.lease;
+}
+
+bool ownership::is_leaving(const std::string& name) const
+{
+    if (name == options_.self.name)
+        return leaving_;
+    const auto found = peers_.find(name);
+    return found != peers_.end() && found->second.leaving;
+}
+
+// ---- the table -------------------------------------------------------------------------------
+
+bool ownership::is_mine(const shard_owner& owner) const
+{
+    return owner.name == options_.self.name && owner.incarnation == options_.self.incarnation;
+}
+
+void ownership::on_table(instant now, const shard_table& table, const std::string& from)
+{
+    if (const auto peer = peers_.find(from); peer != peers_.end())
+        peer->second.sent_table = true;
+    adopt(now, table);
+}
+
+void ownership::on_store_table(instant now, const shard_table& table, std::int64_t revision)
+{
+    if (!store_revision_ || revision > *store_revision_)
+        store_revision_ = revision;
+    adopt(now, table);
+}
+
+void ownership::adopt(instant now, const shard_table& table)
+{
+    if (table.version <= table_.version || table.owners.size() != shard_count)
+        return;
+    const auto before = std::exchange(table_, table);
+    std::map<std::string, std::vector<std::uint32_t>> moved;
+    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    {
+        auto& state = states_.at(shard);
+        const auto& owner = table_.owners[shard];
+        const bool unchanged = !before.owners.empty() && before.owners[shard] == owner;
+        if (unchanged)
+            continue;
+        if (is_mine(owner))
+        {
+            state = shard_state::preparing;
+            owned_since_.at(shard) = now;
+            from_live_owner_.at(shard) = !before.owners.empty() &&
+                                         before.owners[shard].name != options_.self.name &&
+                                         !is_dead(now, before.owners[shard]);
+            continue;
+        }
+        if (state == shard_state::active || state == shard_state::moving)
+        {
+            if (table_ == proposal_)
+                moved[owner.name].push_back(shard);
+            else
+                lost_.push_back(shard);
+        }
+        state = shard_state::foreign;
+    }
+    broadcast_table();
+    for (auto& [to, shards] : moved)
+        moved_.push_back({to, std::move(shards)});
+}
+
+void ownership::broadcast_table()
+{
+    for (const auto& [name, peer] : peers_)
+        messages_.push_back({name, table_update{table_}});
+}
+
+std::string ownership::owner(std::uint32_t shard) const
+{
+    return table_.owners.empty() ? std::string() : table_.owners[shard].name;
+}
+
+std::uint64_t ownership::epoch(std::uint32_t shard) const
+{
+    return table_.owners.empty() ? 0 : table_.owners[shard].epoch;
+}
+
+void ownership::activate(const std::vector<std::uint32_t>& shards)
+{
+    for (const auto shard : shards)
+    {
+        if (states_.at(shard) == shard_state::preparing)
+            states_.at(shard) = shard_state::active;
+    }
+}
+
+std::vector<std::uint32_t> ownership::shards_to_recover(instant now) const
+{
+    std::vector<std::uint32_t> shards;
+    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    {
+        if (states_.at(shard) != shard_state::preparing)
+            continue;
+        const bool handover_due =
+            from_live_owner_.at(shard) && now - owned_since_.at(shard) < options_.handover_wait;
+        if (!handover_due)
+            shards.push_back(shard);
+    }
+    return shards;
+}
+
+// ---- changes to the table --------------------------------------------------------------------
+
+void ownership::on_store_entry(const std::string& name, std::optional<std::uint64_t> incarnation)
+{
+    if (incarnation)
+        registered_[name] = *incarnation;
+    else
+        registered_.erase(name);
+}
+
+void ownership::on_store_read(instant)
+{
+    store_read_ = true;
+    if (!store_revision_)
+        store_revision_ = 0;
+}
+
+/// An owner is dead when its lease in the key-value service is gone and nobody hears it here.
+bool ownership::is_dead(instant now, const shard_owner& owner) const
+{
+    if (is_mine(owner))
+        return false;
+    const auto registered = registered_.find(owner.name);
+    if (registered != registered_.end() && registered->second == owner.incarnation)
+        return false;
+    const auto found = peers_.find(owner.name);
+    if (found == peers_.end() || !found->second.heard ||
+        found->second.incarnation != owner.incarnation)
+        return true;
+    return now - *found->second.heard > options_.lease + options_.lease_margin;
+}
+
+std::vector<std::string> ownership::live_entries(instant now) const
+{
+    std::vector<std::string> live;
+    for (const auto& name : options_.entries)
+    {
+        if (name == options_.self.name ? !leaving_ : is_heard(now, name) && !is_leaving(name))
+            live.push_back(name);
+    }
+    return live;
+}
+
+void ownership::on_tick(instant now)
+{
+    if (now - last_beat_ >= options_.beat_interval)
+        send_beats(now);
+    const bool settled = now - started_ >= options_.first_table_wait;
+    if (!store_read_ || swap_pending_ || !settled)
+        return;
+    if (table_.owners.empty())
+        return create_first_table(now);
+    take_over_dead(now);
+    if (!swap_pending_)
+        move_shards(now);
+}
+
+void ownership::propose(shard_table table)
+{
+    table.version = table_.version + 1;
+    proposal_ = table;
+    swap_ = swap_table{store_revision_.value_or(0), std::move(table)};
+    swap_pending_ = true;
+}
+
+void ownership::on_swap_done(instant now, bool swapped, const swap_table& request,
+                             std::int64_t revision)
+{
+    if (swapped)
+    {
+        store_revision_ = std::max(store_revision_.value_or(0), revision);
+        adopt(now, request.table);
+    }
+    on_swap_unknown();
+}
+
+/// Serving goes on: should the swap take effect later, the new owner waits until the leases under
+/// the older table are over, or for this entry's records.
+void ownership::on_swap_unknown()
+{
+    swap_pending_ = false;
+    for (auto& state : states_)
+    {
+        if (state == shard_state::moving)
+            state = shard_state::active;
+    }
+}
+
+void ownership::create_first_table(instant now)
+{
+    const auto live = live_entries(now);
+    if (live.empty() || live.front() != options_.self.name)
+        return;
+    shard_table table;
+    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    {
+        const auto& name = live[rendezvous_owner(shard, live)];
+        const auto incarnation =
+            name == options_.self.name ? options_.self.incarnation : peers_.at(name).incarnation;
+        table.owners.push_back({name, incarnation, 1});
+    }
+    propose(std::move(table));
+}
+
+void ownership::take_over_dead(instant now)
+{
+    const auto live = live_entries(now);
+    // One entry acts for all, so that they don't race; the others follow when it doesn't.
+    if (live.empty() || live.front() != options_.self.name)
+        return;
+    auto table = table_;
+    bool changed = false;
+    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    {
+        auto& owner = table.owners[shard];
+        if (!is_dead(now, owner))
+            continue;
+        const auto& name = live[rendezvous_owner(shard, live)];
+        owner = {name,
+                 name == options_.self.name ? options_.self.incarnation
+                                            : peers_.at(name).incarnation,
+                 owner.epoch + 1};
+        changed = true;
+    }
+    if (changed)
+        propose(std::move(table));
+}
+
+/// Gives shards to the entries that rendezvous hashing names, or all of them when leaving.
+void ownership::move_shards(instant now)
+{
+    const auto live = live_entries(now);
+    if (live.empty() || !holds_lease(now))
+        return;
+    auto table = table_;
+    bool changed = false;
+    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    {
+        auto& owner = table.owners[shard];
+        if (states_.at(shard) != shard_state::active)
+            continue;
+        const auto& name = live[rendezvous_owner(shard, live)];
+        const auto registered = registered_.find(name);
+        const bool known = registered != registered_.end() && name != options_.self.name &&
+                           registered->second == peers_.at(name).incarnation;
+        if (!known)
+            continue;
+        owner = {name, registered->second, owner.epoch + 1};
+        states_.at(shard) = shard_state::moving;
+        changed = true;
+    }
+    if (changed)
+        propose(std::move(table));
+}
+
+void ownership::leave(instant now)
+{
+    leaving_ = true;
+    send_beats(now);
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/version/store_client.cpp
@@ -0,0 +1,203 @@
+#include "tarragonlock/version/store_client.hpp"
+
+#include "tarragonlock/common/mailbox.hpp"
+
+#include <atomic>
+#include <thread>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+struct swap_command
+{
+    std::uint64_t request = 0;
+    std::string key;
+    std::int64_t expected_revision = 0;
+    std::string value;
+};
+
+struct register_command
+{
+    std::string key;
+    std::string value;
+};
+
+struct unregister_command
+{
+};
+
+struct stop_command
+{
+};
+
+using command = std::variant<swap_command, register_command, unregister_command, stop_command>;
+
+} // namespace
+
+class store_client::implementation
+{
+public:
+    implementation(const store_options& options, sink on_event)
+        : options_(options), on_event_(std::move(on_event)), calls_connection_(options),
+          watch_connection_(std::make_shared<store_connection>(options))
+    {
+        worker_ = std::thread([this] { work(); });
+        // The watch blocks in a read that cannot be interrupted, so it ends with the process.
+        std::thread([state = state_, connection = watch_connection_, options = options_,
+                     sink = on_event_] { watch(state, connection, options, sink); })
+            .detach();
+    }
+
+    ~implementation()
+    {
+        state_->stopping = true;
+        commands_.post(stop_command{});
+        worker_.join();
+    }
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
+    void post(command item) { commands_.post(std::move(item)); }
+    std::uint64_t calls() const { return state_->calls; }
+
+private:
+    struct shared_state
+    {
+        std::atomic<bool> stopping{false};
+        std::atomic<std::uint64_t> calls{0};
+    };
+
+    static void watch(const std::shared_ptr<shared_state>& state,
+                      const std::shared_ptr<store_connection>& connection,
+                      const store_options& options, const sink& on_event)
+    {
+        while (!state->stopping)
+        {
+            ++state->calls;
+            if (auto read = connection->read_all())
+            {
+                auto& [snapshot, revision] = read.value();
+                on_event(std::move(snapshot));
+                ++state->calls;
+                connection->watch(revision,
+                                  [&](store_change change)
+                                  {
+                                      if (!state->stopping)
+                                          on_event(std::move(change));
+                                      return !state->stopping;
+                                  });
+                if (!state->stopping)
+                    on_event(store_lost{});
+            }
+            std::this_thread::sleep_for(options.retry_interval);
+        }
+    }
+
+    void work()
+    {
+        while (true)
+        {
+            const auto item = commands_.receive(options_.lease_time / 3);
+            if (item && std::holds_alternative<stop_command>(*item))
+                return;
+            if (item)
+                std::visit([this](const auto& body) { run(body); }, *item);
+            keep_registered();
+        }
+    }
+
+    void run(const swap_command& request)
+    {
+        ++state_->calls;
+        auto answer = calls_connection_.swap(request.key, request.expected_revision, request.value);
+        swap_result outcome;
+        if (answer)
+            outcome = std::move(answer).value();
+        else
+            outcome.in_doubt = true;
+        outcome.request = request.request;
+        on_event_(std::move(outcome));
+    }
+
+    void run(const register_command& request) { registration_ = request; }
+
+    void run(const unregister_command&)
+    {
+        registration_.reset();
+        ++state_->calls;
+        // When the call fails, the lease lapses by itself.
+        if (lease_ != 0)
+            (void)calls_connection_.revoke_lease(lease_);
+        lease_ = 0;
+    }
+
+    void run(const stop_command&) {}
+
+    void keep_registered()
+    {
+        const auto now = process_clock::now();
+        if (!registration_ || (lease_ != 0 && now - kept_ < options_.lease_time / 4))
+            return;
+        kept_ = now;
+        ++state_->calls;
+        if (lease_ != 0)
+        {
+            const auto kept = calls_connection_.keep_lease(lease_);
+            if (!kept || kept.value())
+                return; // Alive, or nothing is known: the lease may have been kept.
+        }
+        lease_ = 0;
+        const auto granted = calls_connection_.grant_lease();
+        if (!granted)
+            return;
+        state_->calls += 2;
+        const auto put =
+            calls_connection_.put(registration_->key, registration_->value, granted.value());
+        if (put)
+            lease_ = granted.value();
+    }
+
+    store_options options_;
+    sink on_event_;
+    store_connection calls_connection_;
+    std::shared_ptr<store_connection> watch_connection_;
+    std::shared_ptr<shared_state> state_ = std::make_shared<shared_state>();
+    mailbox<command> commands_;
+    std::optional<register_command> registration_;
+    std::int64_t lease_ = 0;
+    instant kept_;
+    std::thread worker_;
+};
+
+store_client::store_client(store_options options, sink on_event)
+    : impl_(std::make_unique<implementation>(std::move(options), std::move(on_event)))
+{
+}
+
+store_client::~store_client() = default;
+
+void store_client::swap(std::uint64_t request, const std::string& key,
+                        std::int64_t expected_revision, const std::string& value)
+{
+    impl_->post(swap_command{request, key, expected_revision, value});
+}
+
+void store_client::keep_registered(const std::string& key, const std::string& value)
+{
+    impl_->post(register_command{key, value});
+}
+
+void store_client::unregister()
+{
+    impl_->post(unregister_command{});
+}
+
+std::uint64_t store_client::calls() const
+{
+    return impl_->calls();
+}
+
+} // namespace tarragonlock
