--- /dev/null
+++ b/src/version/store_connection.cpp
@@ -0,0 +1,279 @@
+#include "tarragonlock/version/store_client.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <absl/strings/escaping.h>
+
+namespace tarragonlock
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+class store_category : public std::error_category
+{
+public:
+    const char* name() const noexcept override { return "tarragonlock.store"; }
+    std::string message(int value) const override
+    {
+        switch (static_cast<store_error>(value))
+        {
+        case store_error::unreachable:
+            return "the key-value service does not answer";
+        case store_error::bad_answer:
+            return "the key-value service's answer is not understood";
+        case store_error::refused:
+            return "the key-value service refused the call";
+        }
+        return "unknown store error";
+    }
+};
+
+constexpr auto quiet_watch_limit = std::chrono::seconds(5);
+
+std::string to_base64(const std::string& bytes)
+{
+    return absl::Base64Escape(bytes);
+}
+
+std::string from_base64(const std::string& text)
+{
+    std::string bytes;
+    absl::Base64Unescape(text, &bytes);
+    return bytes;
+}
+
+/// The JSON mapping writes 64-bit numbers as texts.
+std::int64_t number_in(const json& object, const char* key)
+{
+    const auto found = object.find(key);
+    if (found == object.end())
+        return 0;
+    return found->is_string() ? std::stoll(found->get<std::string>()) : found->get<std::int64_t>();
+}
+
+store_item item_in(const json& kv)
+{
+    return {from_base64(kv.at("key").get<std::string>()), from_base64(kv.value("value", "")),
+            number_in(kv, "mod_revision")};
+}
+
+/// The key that follows all keys with a prefix.
+std::string end_of_prefix(std::string prefix)
+{
+    ++prefix.back();
+    return prefix;
+}
+
+} // namespace
+
+std::error_code make_error_code(store_error error)
+{
+    static const store_category category;
+    return {static_cast<int>(error), category};
+}
+
+class store_connection::implementation
+{
+public:
+    explicit implementation(store_options options) : options_(std::move(options)) {}
+
+    const store_options& options() const { return options_; }
+
+    result<json> call(const std::string& path, const json& body)
+    {
+        for (std::size_t tried = 0; tried < options_.addresses.size(); ++tried)
+        {
+            httplib::Client client(address());
+            set_timeouts(client, options_.timeout);
+            const auto answer = client.Post(path, body.dump(), "application/json");
+            if (!answer)
+            {
+                ++next_;
+                continue;
+            }
+            if (answer->status != 200)
+                return make_error_code(store_error::refused);
+            auto parsed = json::parse(answer->body, nullptr, false);
+            if (parsed.is_discarded())
+                return make_error_code(store_error::bad_answer);
+            return parsed;
+        }
+        return make_error_code(store_error::unreachable);
+    }
+
+    void stream(const std::string& path, const json& body,
+                const std::function<bool(const json&)>& on_object)
+    {
+        httplib::Client client(address());
+        set_timeouts(client, options_.timeout);
+        // A quiet stream may be one that something on the way has lost track of, so it is ended
+        // and everything is read anew.
+        client.set_read_timeout(quiet_watch_limit);
+        httplib::Request request;
+        request.method = "POST";
+        request.path = path;
+        request.body = body.dump();
+        request.set_header("Content-Type", "application/json");
+        std::string pending;
+        request.content_receiver =
+            [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t)
+        {
+            pending.append(data, size);
+            for (auto end = pending.find('\n'); end != std::string::npos; end = pending.find('\n'))
+            {
+                const auto object = json::parse(pending.substr(0, end), nullptr, false);
+                pending.erase(0, end + 1);
+                if (object.is_discarded() || !on_object(object))
+                    return false;
+            }
+            return true;
+        };
+        client.send(request);
+        ++next_;
+    }
+
+private:
+    std::string address() const
+    {
+        return "http://" + options_.addresses[next_ % options_.addresses.size()];
+    }
+
+    static void set_timeouts(httplib::Client& client, duration timeout)
+    {
+        client.set_connection_timeout(timeout);
+        client.set_read_timeout(timeout);
+        client.set_write_timeout(timeout);
+    }
+
+    store_options options_;
+    std::size_t next_ = 0;
+};
+
+store_connection::store_connection(store_options options)
+    : impl_(std::make_unique<implementation>(std::move(options)))
+{
+}
+
+store_connection::~store_connection() = default;
+
+result<std::pair<store_snapshot, std::int64_t>> store_connection::read_all()
+{
+    const auto& prefix = impl_->options().prefix;
+    const auto answer =
+        impl_->call("/v3/kv/range",
+                    {{"key", to_base64(prefix)}, {"range_end", to_base64(end_of_prefix(prefix))}});
+    if (!answer)
+        return answer.error();
+    try
+    {
+        store_snapshot snapshot;
+        for (const auto& kv : answer.value().value("kvs", json::array()))
+            snapshot.items.push_back(item_in(kv));
+        const auto revision = number_in(answer.value().at("header"), "revision");
+        return std::pair(std::move(snapshot), revision);
+    }
+    catch (const std::exception&)
+    {
+        return make_error_code(store_error::bad_answer);
+    }
+}
+
+result<swap_result> store_connection::swap(const std::string& key, std::int64_t expected_revision,
+                                           const std::string& value)
+{
+    const json body = {
+        {"compare",
+         {{{"key", to_base64(key)},
+           {"target", "MOD"},
+           {"result", "EQUAL"},
+           {"mod_revision", std::to_string(expected_revision)}}}},
+        {"success", {{{"requestPut", {{"key", to_base64(key)}, {"value", to_base64(value)}}}}}},
+        {"failure", {{{"requestRange", {{"key", to_base64(key)}}}}}}};
+    const auto answer = impl_->call("/v3/kv/txn", body);
+    if (!answer)
+        return answer.error();
+    try
+    {
+        swap_result outcome;
+        outcome.swapped = answer.value().value("succeeded", false);
+        outcome.revision = number_in(answer.value().at("header"), "revision");
+        if (outcome.swapped)
+            return outcome;
+        const auto& range = answer.value().at("responses").at(0).at("response_range");
+        for (const auto& kv : range.value("kvs", json::array()))
+            outcome.current = item_in(kv);
+        return outcome;
+    }
+    catch (const std::exception&)
+    {
+        return make_error_code(store_error::bad_answer);
+    }
+}
+
+result<std::int64_t> store_connection::grant_lease()
+{
+    const auto seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(impl_->options().lease_time).count();
+    const auto answer = impl_->call("/v3/lease/grant", {{"TTL", std::to_string(seconds)}});
+    if (!answer)
+        return answer.error();
+    return number_in(answer.value(), "ID");
+}
+
+result<bool> store_connection::keep_lease(std::int64_t lease)
+{
+    const auto answer = impl_->call("/v3/lease/keepalive", {{"ID", std::to_string(lease)}});
+    if (!answer)
+        return answer.error();
+    return number_in(answer.value().value("result", json::object()), "TTL") > 0;
+}
+
+result<bool> store_connection::revoke_lease(std::int64_t lease)
+{
+    const auto answer = impl_->call("/v3/lease/revoke", {{"ID", std::to_string(lease)}});
+    if (!answer)
+        return answer.error();
+    return true;
+}
+
+result<bool> store_connection::put(const std::string& key, const std::string& value,
+                                   std::int64_t lease)
+{
+    const auto answer = impl_->call(
+        "/v3/kv/put",
+        {{"key", to_base64(key)}, {"value", to_base64(value)}, {"lease", std::to_string(lease)}});
+    if (!answer)
+        return answer.error();
+    return true;
+}
+
+void store_connection::watch(std::int64_t after_revision,
+                             const std::function<bool(store_change)>& on_change)
+{
+    const auto& prefix = impl_->options().prefix;
+    const json body = {{"create_request",
+                        {{"key", to_base64(prefix)},
+                         {"range_end", to_base64(end_of_prefix(prefix))},
+                         {"start_revision", std::to_string(after_revision + 1)}}}};
+    impl_->stream("/v3/watch", body,
+                  [&](const json& object)
+                  {
+                      const auto result = object.value("result", json::object());
+                      if (result.value("canceled", false))
+                          return false;
+                      for (const auto& event : result.value("events", json::array()))
+                      {
+                          const auto item = item_in(event.at("kv"));
+                          const bool deleted = event.value("type", "PUT") == "DELETE";
+                          if (!on_change({item.key, deleted ? std::nullopt : std::optional(item)}))
+                              return false;
+                      }
+                      return true;
+                  });
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/tests/standins/standin_backend.cpp
@@ -0,0 +1,126 @@
+// Stand-in for a backend server: sleeps as long as a task says, answers with the task's text.
+
+#include <docopt/docopt.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace
+{
+
+constexpr auto usage = R"(Stand-in for a backend server.
+
+Usage: standin_backend --listen ADDRESS --agent ADDRESS --service NAME [options]
+
+Options:
+  --listen ADDRESS  Where tasks are taken, host:port.
+  --agent ADDRESS   HTTP address of the agent on this host.
+  --service NAME    Service to announce.
+  --label TEXT      One label, key=value [default: kind=standin].
+  --slots N         Slots to announce [default: 8].
+  --slowness X      Factor on every task's time [default: 1.0].
+
+A task's body is JSON with "ms" and "text"; other bodies take no time. PUT /mode with ok, fail or
+hang changes what tasks get; GET /starts tells how many were started.
+)";
+
+std::atomic<bool> stopping{false};
+
+enum class mode
+{
+    ok,
+    fail,
+    hang
+};
+
+void take_task(const httplib::Request& request, httplib::Response& response, mode now,
+               double slowness)
+{
+    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+    const bool is_object = body.is_object();
+    if (now == mode::fail)
+    {
+        response.status = 500;
+        return;
+    }
+    if (now == mode::hang)
+        std::this_thread::sleep_for(std::chrono::seconds(20));
+    if (is_object)
+        std::this_thread::sleep_for(
+            std::chrono::duration<double, std::milli>(body.value("ms", 0.0) * slowness));
+    response.set_content(is_object ? body.value("text", "") : request.body, "text/plain");
+}
+
+void announce(const std::string& agent, const std::string& body)
+{
+    while (!stopping)
+    {
+        httplib::Client client("http://" + agent);
+        client.set_connection_timeout(1);
+        client.Post("/v1/announce", body, "application/json");
+        for (int i = 0; i < 10 && !stopping; ++i)
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    httplib::Client("http://" + agent).Delete("/v1/announce");
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto arguments = docopt::docopt(usage, {argv + 1, argv + argc});
+    std::signal(SIGTERM, [](int) { stopping = true; });
+    std::signal(SIGINT, [](int) { stopping = true; });
+    const auto listen = arguments["--listen"].asString();
+    const auto label = arguments["--label"].asString();
+    const auto slots = static_cast<unsigned>(arguments["--slots"].asLong());
+    const double slowness = std::stod(arguments["--slowness"].asString());
+    const nlohmann::json body = {
+        {"service", arguments["--service"].asString()},
+        {"address", listen},
+        {"slots", slots},
+        {"labels", {{label.substr(0, label.find('=')), label.substr(label.find('=') + 1)}}}};
+
+    std::atomic<mode> current{mode::ok};
+    std::atomic<std::uint64_t> starts{0};
+    httplib::Server server;
+    server.new_task_queue = [slots] { return new httplib::ThreadPool(slots * 4 + 4); };
+    server.set_tcp_nodelay(true);
+    server.set_keep_alive_max_count(1'000'000);
+    server.Post("/task",
+                [&](const auto& request, auto& response)
+                {
+                    ++starts;
+                    take_task(request, response, current, slowness);
+                });
+    server.Put("/mode",
+               [&](const auto& request, auto&)
+               {
+                   current = request.body == "fail"   ? mode::fail
+                             : request.body == "hang" ? mode::hang
+                                                      : mode::ok;
+               });
+    server.Get("/starts", [&](const auto&, auto& response)
+               { response.set_content(std::to_string(starts), "text/plain"); });
+    const auto colon = listen.rfind(':');
+    if (!server.bind_to_port(listen.substr(0, colon).c_str(), std::stoi(listen.substr(colon + 1))))
+    {
+        std::cerr << "cannot listen on " << listen << '\n';
+        return 1;
+    }
+    std::thread announcer(announce, arguments["--agent"].asString(), body.dump());
+    std::thread stopper(
+        [&]
+        {
+            announcer.join();
+            std::this_thread::sleep_for(std::chrono::milliseconds(300));
+            server.stop();
+        });
+    server.listen_after_bind();
+    stopper.join();
+    return 0;
+}
