process: an agent uses one connection a slot and no idle ones

The agent's runner spread tasks over 64 keep-alive connections; a server that serves one connection a thread lets most of them wait, and a connection that it closes as idle while a task is on its way leaves open whether the task ran. Ruled out: placement (free slots were reported), the links (no silent ones). Change: as many runner threads as slots; a connection idle for over 1 s is replaced.

--- a/src/process/agent_daemon.cpp
+++ b/src/process/agent_daemon.cpp
@@ -84,7 +84,7 @@
     agent_task(const agent_settings& settings, std::uint64_t incarnation)
         : settings_(settings), incarnation_(incarnation),
           core_(options_from(settings, incarnation)), server_(http_threads, max_announcement_bytes),
-          runner_(settings.connections,
+          runner_(std::min(settings.slots, settings.connections),
                   [this](task_outcome outcome) { events_.post(agent_event(std::move(outcome))); })
     {
     }
--- a/src/process/task_runner.cpp
+++ b/src/process/task_runner.cpp
@@ -10,6 +10,9 @@
 
 constexpr auto connect_timeout = std::chrono::seconds(1);
 constexpr auto idle_wait = std::chrono::hours(1);
+/// A connection idle for longer is not used again: a server that closes it while a task is on its
+/// way would leave open whether the task ran. Servers keep idle connections for several seconds.
+constexpr auto longest_idle = std::chrono::seconds(1);
 
 /// Only a connection that was never made proves that the backend server got nothing.
 task_status status_of(const httplib::Result& answer)
@@ -43,6 +46,7 @@
 {
     std::string address;
     std::unique_ptr<httplib::Client> client;
+    instant last_used;
     while (true)
     {
         const auto task = tasks_.receive(idle_wait);
@@ -50,7 +54,8 @@
             continue;
         if (task->address.empty())
             return;
-        if (!client || address != task->address)
+        const bool idle_too_long = process_clock::now() - last_used > longest_idle;
+        if (!client || address != task->address || idle_too_long)
         {
             address = task->address;
             client = std::make_unique<httplib::Client>(
@@ -64,6 +69,7 @@
             {"Tarragonlock-Job-Id", task->attempt.job},
             {"Tarragonlock-Task-Index", std::to_string(task->attempt.index)}};
         const auto answer = client->Post("/task", headers, task->body, "application/octet-stream");
+        last_used = process_clock::now();
         const auto status = status_of(answer);
         on_finished_({task->attempt.job, task->attempt.index, task->attempt.attempt, status, 0,
                       status == task_status::succeeded ? answer->body : std::string()});
