--- a/include/tarragonlock/connection/message.hpp
+++ b/include/tarragonlock/connection/message.hpp
@@ -130,6 +130,9 @@
 {
     std::uint64_t table_version = 0;
     std::vector<std::uint32_t> shards;
+    /// For each shard, the wall clock in milliseconds before which jobs without a record are
+    /// uncertain; 0 when none is.
+    std::vector<std::int64_t> certain_since_ms;
     std::vector<job_record> records;
     friend bool operator==(const handover&, const handover&) = default;
 };
--- a/include/tarragonlock/connection/worker_directory.hpp
+++ b/include/tarragonlock/connection/worker_directory.hpp
@@ -56,6 +56,9 @@
     double samples = 0.0;
     bool ejected = false;
     instant probe_at;
+    /// End of a pause after a refusal; the worker is resting until a tick after it.
+    instant rests_until;
+    bool resting = false;
     duration pause{};
     std::vector<pool_index> pools;
     /// Present key in its pools' sets of free workers.
@@ -112,6 +115,8 @@
     /// @param expected_ms  run time expected on a worker of slowness 1; 0 when unknown
     void on_ended(instant now, worker_index worker, const task_outcome& outcome,
                   double expected_ms);
+    /// Gives a worker no tasks until a later moment.
+    void rest(worker_index worker, instant until);
     /// Forgets workers that have been lost for the record window, and lets ejected ones be probed.
     void on_tick(instant now);
 
--- a/include/tarragonlock/process/agent_core.hpp
+++ b/include/tarragonlock/process/agent_core.hpp
@@ -22,6 +22,7 @@
     bool refuse_stale_grants = true;
     bool refuse_known_attempts = true;
     bool refuse_older_config = true;
+    bool require_majority = true;
 };
 
 struct agent_options
@@ -79,6 +80,7 @@
     std::uint64_t starts_refused_known = 0;
     std::uint64_t starts_refused_config = 0;
     std::uint64_t starts_refused_leaving = 0;
+    std::uint64_t starts_refused_majority = 0;
     std::uint64_t messages_sent = 0;
     std::uint64_t offers_unused = 0;
 };
@@ -127,7 +129,8 @@
     struct entry_view
     {
         bool connected = false;
-        /// The entry said that it has voted this agent's status valid: it answered an announcement.
+        /// The entry answered the announcement on this connection, so it knows of this worker.
+        bool knows_worker = false;
         std::uint32_t backlog = 0;
         std::uint32_t offered = 0;
         instant offer_expires;
@@ -160,6 +163,7 @@
     }
 
     bool may_start(instant now, const start_tasks& batch);
+    bool known_to_majority() const;
     bool fenced(std::uint32_t shard, std::uint64_t epoch) const;
     void start_queued(instant now);
     entry_view* next_queue();
--- a/include/tarragonlock/process/entry_core.hpp
+++ b/include/tarragonlock/process/entry_core.hpp
@@ -7,6 +7,7 @@
 #include "tarragonlock/version/ownership.hpp"
 #include "tarragonlock/version/recovery.hpp"
 
+#include <array>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -155,7 +156,8 @@
     bool answer_known(instant now, const waiter& from, const submission& job, start_right right);
     void resume_recovered(instant now, const waiter& from, const submission& job,
                           const registry_entry& known, start_right right);
-    bool uncertain(std::uint32_t shard, const std::string& id) const;
+    bool uncertain(instant now, std::uint32_t shard, const std::string& id) const;
+    unix_milliseconds certain_since(std::uint32_t shard) const;
     void control(instant now, waiter from, const std::string& id, bool query);
     void pass_on(instant now, waiter from, const std::string& target, submission job);
     void deliver(const waiter& to, const answer& reply);
@@ -211,6 +213,8 @@
     std::uint64_t config_version_ = 0;
     std::string config_document_;
     std::list<recovery> recoveries_;
+    /// What earlier owners said in planned transfers, see handover::certain_since_ms.
+    std::array<unix_milliseconds, shard_count> handed_certain_since_{};
     std::uint64_t next_request_;
     std::uint64_t minted_ = 0;
     absl::flat_hash_map<std::string, std::vector<waiter>> waiters_;
--- a/include/tarragonlock/request/dispatcher.hpp
+++ b/include/tarragonlock/request/dispatcher.hpp
@@ -24,8 +24,8 @@
     std::uint32_t entry_count = 1;
     /// Time for which a lost worker may come back before its tasks count as lost.
     duration worker_lost_after = std::chrono::seconds(5);
-    /// Attempts at one task, those that certainly did not start included.
-    std::uint32_t max_attempts = 24;
+    /// Time for which a worker that refused a task gets no other.
+    duration refusal_pause = std::chrono::milliseconds(100);
     /// Most workers that are told of a backlog in one round.
     std::uint32_t backlog_notices = 16;
     /// Switch for tests: start tasks again whose fate is unknown.
--- a/include/tarragonlock/version/ownership.hpp
+++ b/include/tarragonlock/version/ownership.hpp
@@ -30,6 +30,8 @@
     process_id self;
     /// Names of all entries, this one included.
     std::vector<std::string> entries;
+    /// Wall clock minus process clock.
+    unix_milliseconds wall_offset{0};
     duration lease = std::chrono::seconds(2);
     /// Added to the lease by those who wait for its end; covers clocks of different rates.
     duration lease_margin = std::chrono::milliseconds(500);
--- a/include/tarragonlock/version/recovery.hpp
+++ b/include/tarragonlock/version/recovery.hpp
@@ -2,6 +2,7 @@
 
 #include "tarragonlock/connection/message.hpp"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -53,7 +54,8 @@
     std::uint64_t table_version() const { return table_version_; }
     instant started() const { return started_; }
     const std::vector<shard_epoch>& shards() const { return shards_; }
-    bool covers(std::uint32_t shard) const;
+    /// @return the epoch under which a shard is recovered, if this round covers it.
+    std::optional<std::uint64_t> epoch_of(std::uint32_t shard) const;
     /// @return records that came since the last call, each with its worker's name.
     std::vector<std::pair<std::string, start_record>> take_records()
     {
--- a/include/tarragonlock/version/shard_table.hpp
+++ b/include/tarragonlock/version/shard_table.hpp
@@ -34,6 +34,8 @@
 struct shard_table
 {
     std::uint64_t version = 0;
+    /// Wall clock of the entry that made the first table, in milliseconds since the Unix epoch.
+    std::int64_t created_ms = 0;
     std::vector<shard_owner> owners;
     friend bool operator==(const shard_table&, const shard_table&) = default;
 };
--- a/src/connection/worker_directory.cpp
+++ b/src/connection/worker_directory.cpp
@@ -19,7 +19,7 @@
 
 std::uint32_t worker_view::free_slots() const
 {
-    if (!connected || leaving)
+    if (!connected || leaving || resting)
         return 0;
     const auto in_flight = tasks_sent - std::min(tasks_sent, load.tasks_received);
     return load.free_slots > in_flight ? load.free_slots - static_cast<std::uint32_t>(in_flight)
@@ -266,11 +266,23 @@
     return static_cast<double>(ejected + 1) > ejection_.max_share * static_cast<double>(members);
 }
 
+void worker_directory::rest(worker_index worker, instant until)
+{
+    workers_[worker].resting = true;
+    workers_[worker].rests_until = until;
+    refresh(worker);
+}
+
 void worker_directory::on_tick(instant now)
 {
     for (worker_index worker = 0; worker < workers_.size(); ++worker)
     {
         auto& view = workers_[worker];
+        if (view.resting && view.rests_until <= now)
+        {
+            view.resting = false;
+            refresh(worker);
+        }
         const bool may_probe =
             view.ejected && view.probe_at <= now && view.outstanding == 0 && view.free_slots() > 0;
         for (const auto index : view.pools)
--- a/src/process/agent_core.cpp
+++ b/src/process/agent_core.cpp
@@ -46,6 +46,7 @@
 {
     auto& view = entries_[entry];
     view.connected = false;
+    view.knows_worker = false;
     view.backlog = 0;
     view.offered = 0;
 }
@@ -131,6 +132,11 @@
         ++counters_.starts_refused_fenced;
         return false;
     }
+    if (options_.mechanisms.require_majority && batch.shard != minted_shard && !known_to_majority())
+    {
+        ++counters_.starts_refused_majority;
+        return false;
+    }
     const auto stamp = stamp_of(now);
     const auto lifetime = static_cast<std::uint64_t>(options_.grant_lifetime.count() / 1000);
     const bool stale = batch.grant_stamp > stamp || stamp - batch.grant_stamp > lifetime;
@@ -148,6 +154,15 @@
     return true;
 }
 
+/// A new owner asks a majority of entries which workers there are, so a worker that starts tasks of
+/// a shard must be known to one.
+bool agent_core::known_to_majority() const
+{
+    const auto knowing = std::count_if(entries_.begin(), entries_.end(),
+                                       [](const auto& entry) { return entry.second.knows_worker; });
+    return static_cast<std::uint32_t>(knowing) >= options_.entry_count / 2 + 1;
+}
+
 bool agent_core::fenced(std::uint32_t shard, std::uint64_t epoch) const
 {
     return shard < shard_count && epoch < fences_.at(shard);
@@ -231,6 +246,7 @@
 void agent_core::handle(instant, const std::string& entry, const entry_status& status)
 {
     observe_config(status.config_version);
+    entries_[entry].knows_worker = true;
     auto& unacknowledged = entries_[entry].unacknowledged;
     while (!unacknowledged.empty() && unacknowledged.front().sequence <= status.results_through)
         unacknowledged.pop_front();
--- a/src/process/agent_daemon.cpp
+++ b/src/process/agent_daemon.cpp
@@ -264,6 +264,7 @@
         add("counter", "starts_refused_known_total", counters.starts_refused_known);
         add("counter", "starts_refused_config_total", counters.starts_refused_config);
         add("counter", "starts_refused_leaving_total", counters.starts_refused_leaving);
+        add("counter", "starts_refused_majority_total", counters.starts_refused_majority);
         add("counter", "offers_unused_total", counters.offers_unused);
         add("counter", "messages_sent_total", counters.messages_sent);
         add("counter", "link_bytes_sent_total", traffic.bytes_sent);
--- a/src/process/entry_core.cpp
+++ b/src/process/entry_core.cpp
@@ -123,7 +123,7 @@
             if (age > options_.record_window - options_.clock_skew)
                 return deliver(from, job.id, outcome::unknown, reason::id_expired);
         }
-        if (uncertain(right.shard, job.id))
+        if (uncertain(now, right.shard, job.id))
             return deliver(from, job.id, outcome::unknown, reason::records_lost);
     }
     if (auto refusal = dispatcher_->refusal(job))
@@ -177,7 +177,7 @@
                                   const registry_entry& known, start_right right)
 {
     const bool all_recorded = known.outcomes.size() == job.tasks.size();
-    if (!all_recorded && uncertain(right.shard, job.id))
+    if (!all_recorded && uncertain(now, right.shard, job.id))
         return deliver(from, job.id, outcome::unknown, reason::records_lost);
     const auto outcomes = known.outcomes;
     registry_.start(now, job.id, digest_of(job));
@@ -185,22 +185,37 @@
     dispatcher_->admit(now, job, right, outcomes);
 }
 
-/// @return whether a job without a record may have been started by an earlier owner.
-bool entry_core::uncertain(std::uint32_t shard, const std::string& id) const
+/// @return the moment before which jobs without a record may have been started by an earlier owner.
+unix_milliseconds entry_core::certain_since(std::uint32_t shard) const
 {
+    auto since = handed_certain_since_.at(shard);
+    const unix_milliseconds created(ownership_.table().created_ms);
     for (const auto& round : recoveries_)
     {
-        if (!round.covers(shard))
+        const auto epoch = round.epoch_of(shard);
+        // Nobody owned a shard before its first epoch.
+        if (!epoch || *epoch <= 1)
             continue;
         const auto taken_over = wall(round.started());
-        const auto created = uuid7_time(id);
-        const auto skew = std::chrono::duration_cast<unix_milliseconds>(options_.clock_skew);
-        if (created && *created > taken_over + skew)
-            continue;
+        const auto known_for = std::chrono::duration_cast<unix_milliseconds>(round.known_for());
+        const auto known_since = taken_over - known_for;
         if (!round.complete())
-            return true;
+            since = std::max(since, taken_over);
+        else if (known_since > created + options_.clock_skew &&
+                 round.known_for() < options_.record_window)
+            since = std::max(since, known_since);
     }
-    return false;
+    return since;
+}
+
+bool entry_core::uncertain(instant now, std::uint32_t shard, const std::string& id) const
+{
+    const auto since = certain_since(shard);
+    if (since.count() == 0)
+        return false;
+    if (const auto created = uuid7_time(id))
+        return *created <= since + options_.clock_skew;
+    return wall(now) - since < options_.record_window;
 }
 
 void entry_core::pass_on(instant now, waiter from, const std::string& target, submission job)
@@ -237,7 +252,7 @@
     {
         const bool certain = known == nullptr && minter_of(id).empty() &&
                              ownership_.state(shard_of(id)) == shard_state::active &&
-                             ownership_.holds_lease(now) && !uncertain(shard_of(id), id);
+                             ownership_.holds_lease(now) && !uncertain(now, shard_of(id), id);
         return deliver(from, id, certain ? outcome::refused : outcome::unknown,
                        certain ? reason::unknown_id : reason::records_lost);
     }
@@ -285,6 +300,7 @@
         {
             const auto* known = registry_.find(reply.id);
             send(moved->second, handover{ownership_.table().version,
+                                         {},
                                          {},
                                          {{reply.id, known ? known->digest : 0, true, reply}}});
             handed_over_.erase(moved);
--- a/src/process/entry_core_membership.cpp
+++ b/src/process/entry_core_membership.cpp
@@ -14,6 +14,7 @@
         return placement.error();
     options.ownership.self = options.self;
     options.ownership.entries = options.entries;
+    options.ownership.wall_offset = options.wall_offset;
     options.dispatch.entry_count = static_cast<std::uint32_t>(options.entries.size());
     return std::unique_ptr<entry_core>(
         new entry_core(std::move(options), now, std::move(placement).value()));
@@ -135,6 +136,11 @@
         else
             registry_.add_remote(now, record.id, record.digest, from);
     }
+    for (std::size_t i = 0; i < transfer.shards.size() && i < transfer.certain_since_ms.size(); ++i)
+    {
+        if (const auto shard = transfer.shards[i]; shard < shard_count)
+            handed_certain_since_.at(shard) = unix_milliseconds(transfer.certain_since_ms[i]);
+    }
     ownership_.activate(transfer.shards);
     retry_held(now);
 }
@@ -188,7 +194,9 @@
 {
     for (const auto& [to, shards] : moved)
     {
-        handover transfer{ownership_.table().version, shards, registry_.records_of(shards)};
+        handover transfer{ownership_.table().version, shards, {}, registry_.records_of(shards)};
+        for (const auto shard : shards)
+            transfer.certain_since_ms.push_back(certain_since(shard).count());
         for (const auto& record : transfer.records)
         {
             if (dispatcher_->in_progress(record.id))
--- a/src/version/ownership.cpp
+++ b/src/version/ownership.cpp
@@ -335,6 +335,9 @@
     if (live.empty() || live.front() != options_.self.name)
         return;
     shard_table table;
+    const auto wall = std::chrono::duration_cast<unix_milliseconds>(now.time_since_epoch()) +
+                      options_.wall_offset;
+    table.created_ms = wall.count();
     for (std::uint32_t shard = 0; shard < shard_count; ++shard)
     {
         const auto& name = live[rendezvous_owner(shard, live)];
--- a/src/version/recovery.cpp
+++ b/src/version/recovery.cpp
@@ -97,10 +97,13 @@
     return longest.size() < options_.majority ? duration(0) : longest[options_.majority - 1];
 }
 
-bool recovery::covers(std::uint32_t shard) const
+std::optional<std::uint64_t> recovery::epoch_of(std::uint32_t shard) const
 {
-    return std::any_of(shards_.begin(), shards_.end(),
-                       [&](const auto& item) { return item.shard == shard; });
+    const auto found = std::find_if(shards_.begin(), shards_.end(),
+                                    [&](const auto& item) { return item.shard == shard; });
+    if (found == shards_.end())
+        return std::nullopt;
+    return found->epoch;
 }
 
 } // namespace tarragonlock
