tests: scenario files with the mechanisms they depend on; refusals are recorded

Traces: a copy of a forwarded submission, and a copy of a start that was refused, were taken although the first copy had been refused. A third crash: a recovered record of a worker that had never announced itself.

--- a/include/tarragonlock/connection/worker_directory.hpp
+++ b/include/tarragonlock/connection/worker_directory.hpp
@@ -108,6 +108,8 @@
     /// Takes a load report. @return the worker, if it has announced itself.
     std::optional<worker_index> on_load(instant now, const std::string& name,
                                         const worker_load& load);
+    /// @return the worker; one that never announced itself here is added as lost.
+    worker_index find_or_add(instant now, const std::string& name);
     std::optional<worker_index> on_lost(instant now, const std::string& name);
     /// Notes that tasks go out to a worker.
     void on_sent(worker_index worker, std::uint32_t tasks);
--- a/include/tarragonlock/process/entry_core.hpp
+++ b/include/tarragonlock/process/entry_core.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -219,6 +220,7 @@
     std::uint64_t minted_ = 0;
     absl::flat_hash_map<std::string, std::vector<waiter>> waiters_;
     std::map<std::uint64_t, forward> forwards_;
+    std::map<std::string, std::deque<std::uint64_t>> forwards_seen_;
     std::vector<held_request> held_;
     /// Jobs of shards that were handed over while they ran here, with the new owner.
     std::map<std::string, std::string> handed_over_;
--- a/include/tarragonlock/version/recovery.hpp
+++ b/include/tarragonlock/version/recovery.hpp
@@ -53,6 +53,9 @@
     std::uint64_t request() const { return request_; }
     std::uint64_t table_version() const { return table_version_; }
     instant started() const { return started_; }
+    /// Notes that the shards are served from now on.
+    void set_activated(instant now) { activated_ = now; }
+    std::optional<instant> activated() const { return activated_; }
     const std::vector<shard_epoch>& shards() const { return shards_; }
     /// @return the epoch under which a shard is recovered, if this round covers it.
     std::optional<std::uint64_t> epoch_of(std::uint32_t shard) const;
@@ -69,6 +72,7 @@
 
     recovery_options options_;
     instant started_;
+    std::optional<instant> activated_;
     instant asked_;
     std::uint64_t request_;
     std::uint64_t table_version_;
--- a/src/connection/worker_directory.cpp
+++ b/src/connection/worker_directory.cpp
@@ -147,16 +147,27 @@
     }
 }
 
-std::pair<worker_index, bool> worker_directory::on_announce(instant now, const std::string& name,
-                                                            const announce& notice)
+worker_index worker_directory::find_or_add(instant now, const std::string& name)
 {
     const auto [found, inserted] =
         by_name_.try_emplace(name, static_cast<worker_index>(workers_.size()));
-    const auto worker = found->second;
     if (inserted)
-        workers_.push_back({.id = {name, notice.incarnation}});
+    {
+        workers_.push_back({.id = {name, 0}});
+        workers_.back().lost_at = now;
+    }
+    return found->second;
+}
+
+std::pair<worker_index, bool> worker_directory::on_announce(instant now, const std::string& name,
+                                                            const announce& notice)
+{
+    const auto worker = find_or_add(now, name);
     auto& view = workers_[worker];
-    const bool restarted = !inserted && view.id.incarnation != notice.incarnation;
+    const bool first = view.id.incarnation == 0;
+    const bool restarted = !first && view.id.incarnation != notice.incarnation;
+    if (first)
+        view.id.incarnation = notice.incarnation;
     if (restarted)
     {
         replaced_.emplace_back(view.id, now);
@@ -314,7 +325,10 @@
 {
     std::vector<process_id> known;
     for (const auto& worker : workers_)
-        known.push_back(worker.id);
+    {
+        if (worker.id.incarnation != 0)
+            known.push_back(worker.id);
+    }
     for (const auto& [id, when] : replaced_)
         known.push_back(id);
     return known;
--- a/src/process/agent_core.cpp
+++ b/src/process/agent_core.cpp
@@ -94,7 +94,11 @@
     {
         if (!allowed)
         {
-            report(now, entry, not_started(batch, task));
+            // Recorded, so that a copy of this start that comes later is not taken; and should this
+            // be the copy of one that was taken, its true state is reported.
+            const auto known = records_.query(now, {batch.job, task.index, task.attempt});
+            if (known.status != task_status::running)
+                report(now, entry, known);
             continue;
         }
         switch (records_.accept(now, entry, batch, task))
--- a/src/process/entry_core.cpp
+++ b/src/process/entry_core.cpp
@@ -196,9 +196,10 @@
         // Nobody owned a shard before its first epoch.
         if (!epoch || *epoch <= 1)
             continue;
-        const auto taken_over = wall(round.started());
+        // Until the activation an earlier owner may have had the right to start.
+        const auto taken_over = wall(round.activated().value_or(now_));
         const auto known_for = std::chrono::duration_cast<unix_milliseconds>(round.known_for());
-        const auto known_since = taken_over - known_for;
+        const auto known_since = wall(round.started()) - known_for;
         if (!round.complete())
             since = std::max(since, taken_over);
         else if (known_since > created + options_.clock_skew &&
@@ -210,6 +211,8 @@
 
 bool entry_core::uncertain(instant now, std::uint32_t shard, const std::string& id) const
 {
+    if (!options_.ownership.mechanisms.fence)
+        return false;
     const auto since = certain_since(shard);
     if (since.count() == 0)
         return false;
--- a/src/process/entry_core_membership.cpp
+++ b/src/process/entry_core_membership.cpp
@@ -7,6 +7,14 @@
 namespace tarragonlock
 {
 
+namespace
+{
+
+/// Requests of each other entry that are remembered to drop their copies.
+constexpr std::size_t forwards_remembered = 256;
+
+} // namespace
+
 result<std::unique_ptr<entry_core>> entry_core::create(entry_options options, instant now)
 {
     auto placement = make_placement(options.placement);
@@ -98,6 +106,16 @@
 
 void entry_core::handle(instant now, const std::string& from, const forward_submit& forwarded)
 {
+    // The second copy of a refused submission must not be taken: its sender has passed on the refusal.
+    auto& seen = forwards_seen_[from];
+    if (std::find(seen.begin(), seen.end(), forwarded.request) != seen.end())
+    {
+        ++counters_.messages_wasted;
+        return;
+    }
+    seen.push_back(forwarded.request);
+    if (seen.size() > forwards_remembered)
+        seen.pop_front();
     submit(now, {0, from, forwarded.request, std::nullopt}, forwarded.job);
 }
 
@@ -257,6 +275,8 @@
         if (!(round.ready(now) || (!fencing && round.known_for().count() > 0)) ||
             !ownership_.older_leases_over(now, round.table_version()))
             continue;
+        if (!round.activated())
+            round.set_activated(now);
         std::vector<std::uint32_t> shards;
         for (const auto& [shard, epoch] : round.shards())
         {
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -122,7 +122,7 @@
         if (outcome.status == task_status::not_started)
             continue;
         task.state = task_state::sent;
-        task.worker = directory_.find(worker).value_or(0);
+        task.worker = directory_.find_or_add(now, worker);
     }
     for (std::uint32_t i = 0; i < state.tasks.size(); ++i)
     {
--- /dev/null
+++ b/tests/run_scenarios.cpp
@@ -0,0 +1,52 @@
+// Runs scenario files: each must hold, and must fail without each mechanism that it names.
+
+#include "fakes/exploration.hpp"
+#include "fakes/scenario.hpp"
+
+#include <filesystem>
+#include <iostream>
+
+namespace
+{
+
+using tarragonlock::test::scenario;
+
+/// @return whether the scenario holds as it should.
+bool check(const scenario& scene)
+{
+    bool good = true;
+    const auto name = std::filesystem::path(scene.file).stem().string();
+    for (const auto& fault : scene.run({}))
+    {
+        std::cout << name << ": " << fault << '\n';
+        good = false;
+    }
+    for (const auto& mechanism : scene.fails_without)
+    {
+        const auto enabled = tarragonlock::test::without(mechanism);
+        if (enabled && !scene.run(*enabled).empty())
+            continue;
+        std::cout << name << ": holds without " << mechanism << ", so it proves nothing about it\n";
+        good = false;
+    }
+    std::cout << (good ? "ok     " : "FAILED ") << name << '\n';
+    return good;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::vector<std::string> files(argv + 1, argv + argc);
+    if (files.empty())
+    {
+        std::cerr << "usage: run_scenarios FILE...\n";
+        return 2;
+    }
+    int failed = 0;
+    for (const auto& file : files)
+        failed += check(scenario::load(file)) ? 0 : 1;
+    std::cout << files.size() - static_cast<std::size_t>(failed) << " passed, " << failed
+              << " failed\n";
+    return failed == 0 ? 0 : 1;
+}
