--- a/include/tarragonlock/connection/codec.hpp
+++ b/include/tarragonlock/connection/codec.hpp
@@ -14,7 +14,7 @@
 enum class codec_error
 {
     truncated = 1,
-    unknown_type,
+    unknown_type, ///< also a value outside its enumeration
     unknown_version,
     oversized,
     trailing_bytes
--- a/src/connection/codec.cpp
+++ b/src/connection/codec.cpp
@@ -44,6 +44,43 @@
     return {static_cast<int>(error), category};
 }
 
+/// Thrown inside the codec only, for a number that is not one of an enumeration's values.
+struct value_out_of_range : std::runtime_error
+{
+    value_out_of_range() : std::runtime_error("value is not in its enumeration") {}
+};
+
+/// An enumeration's value as one byte, refused when it is beyond the last one.
+template<class Enum>
+struct checked_enum
+{
+    Enum& value;
+    Enum last;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        auto number = static_cast<std::uint8_t>(value);
+        archive(number);
+        if (number > static_cast<std::uint8_t>(last))
+            throw value_out_of_range();
+        value = static_cast<Enum>(number);
+    }
+};
+
+checked_enum<outcome> checked(outcome& value)
+{
+    return {value, outcome::unknown};
+}
+checked_enum<reason> checked(reason& value)
+{
+    return {value, reason::id_expired};
+}
+checked_enum<task_status> checked(task_status& value)
+{
+    return {value, task_status::running};
+}
+
 // Field lists, one a type, in the order of declaration. message_version changes with any of them.
 #define TARRAGONLOCK_FIELDS(type, ...)                                                             \
     template<class Archive>                                                                        \
@@ -61,7 +98,8 @@
 TARRAGONLOCK_FIELDS(task_input, v.body, v.declared_ms)
 TARRAGONLOCK_FIELDS(submission, v.id, v.service, v.team, v.labels, v.tasks, v.deadline_ms,
                     v.idempotent)
-TARRAGONLOCK_FIELDS(answer, v.id, v.outcome, v.reason, v.results, v.retry_after_ms)
+TARRAGONLOCK_FIELDS(answer, v.id, checked(v.outcome), checked(v.reason), v.results,
+                    v.retry_after_ms)
 TARRAGONLOCK_FIELDS(entry_beat, v.sequence, v.incarnation, v.table_version, v.config_version,
                     v.leaving)
 TARRAGONLOCK_FIELDS(entry_beat_ack, v.sequence, v.incarnation, v.table_version, v.refused,
@@ -87,7 +125,7 @@
                     v.consecutive_failures, v.config_version)
 TARRAGONLOCK_FIELDS(announce, v.incarnation, v.service, v.labels, v.failure_domain, v.slots,
                     v.leaving, v.load)
-TARRAGONLOCK_FIELDS(task_outcome, v.job, v.index, v.attempt, v.status, v.run_ms, v.body)
+TARRAGONLOCK_FIELDS(task_outcome, v.job, v.index, v.attempt, checked(v.status), v.run_ms, v.body)
 TARRAGONLOCK_FIELDS(task_results, v.sequence, v.outcomes, v.load)
 TARRAGONLOCK_FIELDS(load_report, v.incarnation, v.load)
 TARRAGONLOCK_FIELDS(query_reply, v.outcomes, v.load)
--- a/src/process/entry_core_membership.cpp
+++ b/src/process/entry_core_membership.cpp
@@ -106,7 +106,8 @@
 
 void entry_core::handle(instant now, const std::string& from, const forward_submit& forwarded)
 {
-    // The second copy of a refused submission must not be taken: its sender has passed on the refusal.
+    // The second copy of a refused submission must not be taken: its sender has passed on the
+    // refusal.
     auto& seen = forwards_seen_[from];
     if (std::find(seen.begin(), seen.end(), forwarded.request) != seen.end())
     {
--- a/tests/fakes/exploration.cpp
+++ b/tests/fakes/exploration.cpp
@@ -116,13 +116,23 @@
 
     void act()
     {
-        static constexpr weighted_step table[] = {
-            {40, &run::submit},     {14, &run::resubmit},   {6, static_cast<step_function>(&run::crash)},
-            {8, &run::restart},     {5, &run::pause},       {8, &run::resume},
-            {8, &run::cut},         {3, &run::isolate},     {4, &run::heal},
-            {3, &run::store_fault}, {4, &run::cut_store},   {3, &run::hold},
-            {2, &run::fail},        {2, &run::reconfigure}, {3, &run::cancel},
-            {2, &run::drain_agent}, {3, &run::crash_while_held}};
+        static constexpr weighted_step table[] = {{40, &run::submit},
+                                                  {14, &run::resubmit},
+                                                  {6, static_cast<step_function>(&run::crash)},
+                                                  {8, &run::restart},
+                                                  {5, &run::pause},
+                                                  {8, &run::resume},
+                                                  {8, &run::cut},
+                                                  {3, &run::isolate},
+                                                  {4, &run::heal},
+                                                  {3, &run::store_fault},
+                                                  {4, &run::cut_store},
+                                                  {3, &run::hold},
+                                                  {2, &run::fail},
+                                                  {2, &run::reconfigure},
+                                                  {3, &run::cancel},
+                                                  {2, &run::drain_agent},
+                                                  {3, &run::crash_while_held}};
         std::uint32_t total = 0;
         for (const auto& item : table)
             total += item.weight;
--- /dev/null
+++ b/tests/fakes/history_test.cpp
@@ -0,0 +1,79 @@
+// The history checker finds each fault that is planted, and none in a sound history.
+
+#include "fakes/history.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tarragonlock;
+using namespace tarragonlock::test;
+
+namespace
+{
+
+submission job(const std::string& id)
+{
+    submission asked;
+    asked.id = id;
+    asked.tasks = {{"x", 0}, {"y", 0}};
+    return asked;
+}
+
+answer complete(const std::string& id)
+{
+    return {id, outcome::complete, reason::none, {expected_result("x"), expected_result("y")}, 0};
+}
+
+answer refused(const std::string& id)
+{
+    return {id, outcome::refused, reason::queue_full, {}, 0};
+}
+
+started start(const std::string& id, std::uint32_t index, std::uint64_t version = 0)
+{
+    return {{id, index, 0}, "w", version, {}};
+}
+
+std::size_t faults(const history& events)
+{
+    return check_history(events).size();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(history_test)
+
+BOOST_AUTO_TEST_CASE(a_sound_history_has_no_fault)
+{
+    BOOST_TEST(faults({submitted{1, job("j")}, start("j", 0), start("j", 1),
+                       answered{1, complete("j"), {}}, config_seen{"p", 1}, config_seen{"p", 2}}) ==
+               0U);
+}
+
+BOOST_AUTO_TEST_CASE(every_planted_fault_is_found)
+{
+    BOOST_TEST(faults({submitted{1, job("j")}, start("j", 0), start("j", 0)}) == 1U);
+    auto partial = complete("j");
+    partial.results.pop_back();
+    BOOST_TEST(faults({submitted{1, job("j")}, answered{1, partial, {}}}) == 1U);
+    auto crossed = complete("j");
+    std::swap(crossed.results[0], crossed.results[1]);
+    BOOST_TEST(faults({submitted{1, job("j")}, answered{1, crossed, {}}}) > 0U);
+    BOOST_TEST(faults({submitted{1, job("j")}, answered{1, complete("k"), {}}}) == 1U);
+    BOOST_TEST(faults({submitted{1, job("j")}, start("j", 0), answered{1, refused("j"), {}}}) ==
+               1U);
+    BOOST_TEST(faults({submitted{1, job("j")}, answered{1, refused("j"), {}}, start("j", 0)}) ==
+               1U);
+    BOOST_TEST(faults({submitted{1, job("j")}, answered{1, complete("j"), {}},
+                       answered{1, complete("j"), {}}}) == 1U);
+    BOOST_TEST(faults({answered{7, complete("j"), {}}}) == 1U);
+    BOOST_TEST(faults({config_seen{"p", 2}, config_seen{"p", 1}}) == 1U);
+    BOOST_TEST(faults({submitted{1, job("j")}, start("j", 0, 5), start("j", 1, 4)}) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_of_a_job_that_ran_before_is_found)
+{
+    BOOST_TEST(faults({submitted{1, job("j")}, start("j", 0), submitted{2, job("j")},
+                       answered{2, refused("j"), {}}}) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fakes/scenario.cpp
+++ b/tests/fakes/scenario.cpp
@@ -43,10 +43,9 @@
             {"heal", [](auto& f, const auto&) { f.heal(); }},
             {"release", [](auto& f, const auto&) { f.release(); }},
             {"apply", [](auto& f, const auto& text) { f.apply(text); }},
-            {"cancel", [](auto& f, const auto& id)
-             { f.cancel(f.names(true).front(), id); }},
-            {"run_ms", [](auto& f, const auto& time)
-             { f.run_for(milliseconds(std::stoll(time))); }}};
+            {"cancel", [](auto& f, const auto& id) { f.cancel(f.names(true).front(), id); }},
+            {"run_ms",
+             [](auto& f, const auto& time) { f.run_for(milliseconds(std::stoll(time))); }}};
         if (const auto found = words.find(word); found != words.end())
             return (this->*found->second)(value);
         if (const auto found = simple.find(word); found != simple.end())
--- a/tests/fakes/virtual_fleet.cpp
+++ b/tests/fakes/virtual_fleet.cpp
@@ -278,8 +278,7 @@
 std::string virtual_fleet::timed_id(duration skew)
 {
     const auto wall =
-        std::chrono::duration_cast<unix_milliseconds>(now_.time_since_epoch() + skew) +
-                      wall_offset;
+        std::chrono::duration_cast<unix_milliseconds>(now_.time_since_epoch() + skew) + wall_offset;
     char text[37];
     const auto time = static_cast<std::uint64_t>(wall.count());
     std::snprintf(text, sizeof(text), "%08x-%04x-7%03x-8%03x-%012llx",
--- /dev/null
+++ b/tests/process/agent_core_test.cpp
@@ -0,0 +1,178 @@
+#include "tarragonlock/process/agent_core.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tarragonlock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+/// An agent with a backend server of two slots and entries that know it.
+struct fixture
+{
+    explicit fixture(agent_mechanisms mechanisms = {})
+    {
+        agent_options options;
+        options.name = "worker-0";
+        options.entry_count = 3;
+        options.mechanisms = mechanisms;
+        agent = std::make_unique<agent_core>(options);
+        agent->on_backend_announced(now, {"clearing", {}, "127.0.0.1:1", 2});
+        for (const char* entry : {"a", "b"})
+        {
+            agent->on_entry_connected(now, entry);
+            agent->on_message(now, entry, entry_status{});
+        }
+        agent->take_effects();
+    }
+
+    start_tasks batch(const std::string& job, std::uint32_t tasks = 1)
+    {
+        start_tasks request;
+        request.job = job;
+        request.service = "clearing";
+        request.task_count = tasks;
+        request.shard = shard_of(job);
+        request.epoch = 5;
+        request.grant_stamp = static_cast<std::uint64_t>(now.time_since_epoch().count() / 1000);
+        request.deadline_ms = 10'000;
+        for (std::uint32_t i = 0; i < tasks; ++i)
+            request.tasks.push_back({i, 0, "body"});
+        return request;
+    }
+
+    std::size_t runs(const message& request)
+    {
+        agent->on_message(now, "a", request);
+        std::size_t count = 0;
+        for (const auto& effect : agent->take_effects())
+            count += std::holds_alternative<run_task>(effect) ? 1 : 0;
+        return count;
+    }
+
+    instant now{seconds(100)};
+    std::unique_ptr<agent_core> agent;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(agent_core_test)
+
+BOOST_AUTO_TEST_CASE(a_start_with_an_old_grant_is_refused)
+{
+    for (const bool refuse : {false, true})
+    {
+        agent_mechanisms mechanisms;
+        mechanisms.refuse_stale_grants = refuse;
+        fixture setup(mechanisms);
+        const auto late = setup.batch("job");
+        setup.now += seconds(11);
+        BOOST_TEST(setup.runs(late) == (refuse ? 0U : 1U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_known_to_a_minority_starts_nothing_of_a_shard)
+{
+    for (const bool require : {false, true})
+    {
+        agent_mechanisms mechanisms;
+        mechanisms.require_majority = require;
+        fixture setup(mechanisms);
+        setup.agent->on_entry_lost(setup.now, "b");
+        BOOST_TEST(setup.runs(setup.batch("job")) == (require ? 0U : 1U));
+        auto minted = setup.batch("job-2");
+        minted.shard = minted_shard;
+        BOOST_TEST(setup.runs(minted) == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_fenced_epoch_is_refused)
+{
+    for (const bool refuse : {false, true})
+    {
+        agent_mechanisms mechanisms;
+        mechanisms.refuse_fenced_epochs = refuse;
+        fixture setup(mechanisms);
+        setup.agent->on_message(setup.now, "b", fence_shards{1, {{shard_of("job"), 6}}});
+        setup.agent->take_effects();
+        BOOST_TEST(setup.runs(setup.batch("job")) == (refuse ? 0U : 1U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_start_decided_under_an_older_configuration_is_refused)
+{
+    for (const bool refuse : {false, true})
+    {
+        agent_mechanisms mechanisms;
+        mechanisms.refuse_older_config = refuse;
+        fixture setup(mechanisms);
+        setup.agent->on_message(setup.now, "b", entry_status{7, 0, false});
+        BOOST_TEST(setup.runs(setup.batch("job")) == (refuse ? 0U : 1U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_task_that_is_asked_about_before_it_came_never_starts)
+{
+    fixture setup;
+    setup.agent->on_message(setup.now, "a", query_tasks{{{"job", 0, 0}}});
+    BOOST_TEST(setup.runs(setup.batch("job")) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_task_never_starts_and_a_wave_costs_one_message)
+{
+    fixture setup;
+    BOOST_TEST(setup.runs(setup.batch("job", 6)) == 2U);
+    cancel_jobs wave;
+    wave.jobs = {"job"};
+    for (int i = 0; i < 10'000; ++i)
+        wave.jobs.push_back("other-" + std::to_string(i));
+    setup.agent->on_message(setup.now, "a", wave);
+    BOOST_TEST(setup.agent->take_effects().size() == 1U);
+    setup.agent->on_task_finished(setup.now, {"job", 0, 0, task_status::succeeded, 0, "r"});
+    BOOST_TEST(setup.agent->queued() == 0U);
+    BOOST_TEST(setup.runs(setup.batch("other-1")) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_backend_server_gets_nothing_new)
+{
+    fixture setup;
+    BOOST_TEST(setup.runs(setup.batch("job")) == 1U);
+    setup.agent->on_backend_leaving(setup.now);
+    BOOST_TEST(setup.runs(setup.batch("job-2")) == 0U);
+    BOOST_TEST(!setup.agent->idle());
+    setup.agent->on_task_finished(setup.now, {"job", 0, 0, task_status::succeeded, 0, "r"});
+    BOOST_TEST(setup.agent->idle());
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_backend_server_counts_as_gone)
+{
+    fixture setup;
+    setup.now += seconds(4);
+    setup.agent->on_tick(setup.now);
+    BOOST_TEST(!setup.agent->has_backend());
+}
+
+BOOST_AUTO_TEST_CASE(freed_slots_are_offered_to_one_waiting_entry_at_a_time)
+{
+    fixture setup;
+    BOOST_TEST(setup.runs(setup.batch("job", 2)) == 2U);
+    setup.agent->on_message(setup.now, "b", slot_request{"clearing", 5});
+    setup.agent->take_effects();
+    setup.agent->on_task_finished(setup.now, {"job", 0, 0, task_status::succeeded, 0, "r"});
+    std::uint32_t offered_to_b = 0;
+    std::uint32_t offered_to_a = 0;
+    for (const auto& effect : setup.agent->take_effects())
+    {
+        const auto& outgoing = std::get<send_message>(effect);
+        if (const auto* offer = std::get_if<load_report>(&outgoing.body))
+            (outgoing.to == "b" ? offered_to_b : offered_to_a) += offer->load.free_slots;
+        if (const auto* results = std::get_if<task_results>(&outgoing.body))
+            offered_to_a += results->load.free_slots;
+    }
+    BOOST_TEST(offered_to_b == 1U);
+    BOOST_TEST(offered_to_a == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/request/policy_test.cpp
@@ -0,0 +1,162 @@
+// Fair sharing, ejection, records and identifiers.
+
+#include "tarragonlock/connection/worker_directory.hpp"
+#include "tarragonlock/request/fair_queue.hpp"
+#include "tarragonlock/request/job_id.hpp"
+#include "tarragonlock/request/job_registry.hpp"
+#include "tarragonlock/request/placement.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tarragonlock;
+using std::chrono::seconds;
+
+namespace
+{
+
+const auto any_pool = [](pool_index) { return true; };
+
+worker_directory directory_of(std::uint32_t workers)
+{
+    diagnostics faults;
+    worker_directory directory({}, std::chrono::minutes(10));
+    directory.use(std::make_shared<const declarations>(
+        declarations::parse("services: [{name: a}]", "f", faults).value()));
+    directory.pool_for("a", {no_selector, 5});
+    for (std::uint32_t i = 0; i < workers; ++i)
+    {
+        announce notice;
+        notice.incarnation = 1;
+        notice.service = "a";
+        notice.slots = 8;
+        notice.load.free_slots = 8;
+        directory.on_announce(instant(), "w" + std::to_string(i), notice);
+    }
+    return directory;
+}
+
+worker_load failing_load(std::uint32_t failures)
+{
+    worker_load load;
+    load.free_slots = 8;
+    load.consecutive_failures = failures;
+    return load;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(policy_test)
+
+BOOST_AUTO_TEST_CASE(a_flood_leaves_the_other_team_its_share)
+{
+    fair_queue queue;
+    queue.push(0, "flood", 1.0, 9, 1, 100'000);
+    for (int i = 0; i < 1000; ++i)
+        queue.pop(0, 100.0);
+    queue.push(0, "quiet", 1.0, 0, 2, 100);
+    int quiet = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        quiet += queue.next(any_pool)->job == 2 ? 1 : 0;
+        queue.pop(0, 100.0);
+    }
+    // Urgency orders work inside a share only, so the most urgent flood takes no more than half.
+    BOOST_TEST(quiet >= 49);
+    BOOST_TEST(quiet <= 51);
+}
+
+BOOST_AUTO_TEST_CASE(weights_and_true_costs_divide_the_slots)
+{
+    fair_queue queue;
+    queue.push(0, "heavy", 3.0, 5, 1, 10'000);
+    queue.push(0, "light", 1.0, 5, 2, 10'000);
+    int heavy = 0;
+    for (int i = 0; i < 400; ++i)
+    {
+        heavy += queue.next(any_pool)->job == 1 ? 1 : 0;
+        queue.pop(0, 10.0);
+    }
+    BOOST_TEST(heavy >= 297);
+    BOOST_TEST(heavy <= 303);
+}
+
+BOOST_AUTO_TEST_CASE(the_most_urgent_of_a_team_goes_first)
+{
+    fair_queue queue;
+    queue.push(0, "t", 1.0, 2, 1, 1);
+    queue.push(0, "t", 1.0, 9, 2, 1);
+    BOOST_TEST(queue.next(any_pool)->job == 2U);
+    queue.remove(0, "t", 2);
+    BOOST_TEST(queue.next(any_pool)->job == 1U);
+    BOOST_TEST(queue.waiting() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_ejected_and_probed)
+{
+    auto directory = directory_of(10);
+    directory.on_load(instant(), "w0", failing_load(3));
+    BOOST_TEST(directory.at(0).ejected);
+    BOOST_TEST(directory.pool(0).free.size() == 9U);
+    directory.on_tick(instant(seconds(6)));
+    BOOST_TEST(directory.pool(0).probes.size() == 1U);
+    directory.on_load(instant(seconds(7)), "w0", failing_load(0));
+    BOOST_TEST(!directory.at(0).ejected);
+}
+
+BOOST_AUTO_TEST_CASE(a_service_that_fails_everywhere_is_not_ejected)
+{
+    auto directory = directory_of(10);
+    for (const auto& worker : directory.workers())
+        directory.on_load(instant(), std::string(worker.id.name), failing_load(9));
+    std::size_t ejected = 0;
+    for (const auto& worker : directory.workers())
+        ejected += worker.ejected ? 1 : 0;
+    BOOST_TEST(ejected <= 4U);
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_worker_gets_no_last_task)
+{
+    auto directory = directory_of(2);
+    for (int i = 0; i < 60; ++i)
+    {
+        directory.on_ended(instant(), 0, {"j", 0, 0, task_status::succeeded, 100, ""}, 100.0);
+        directory.on_ended(instant(), 1, {"j", 0, 0, task_status::succeeded, 400, ""}, 100.0);
+    }
+    directory.on_tick(instant(seconds(1)));
+    auto busy = failing_load(0);
+    busy.free_slots = 0;
+    directory.on_load(instant(), "w0", busy);
+    const auto placement = make_placement("earliest_finish").value();
+    BOOST_TEST(!placement->choose(directory, {0, 100.0, 1, 0.0, false}));
+    BOOST_TEST((placement->choose(directory, {0, 100.0, 100, 0.0, false}) == worker_index(1)));
+    BOOST_TEST(!make_placement("best"));
+}
+
+BOOST_AUTO_TEST_CASE(identifiers_tell_their_minter_and_their_time)
+{
+    const minted_id minted{{"entry-0", 0xabcdef}, 17};
+    BOOST_TEST((parse_minted_id(to_string(minted)) == minted));
+    BOOST_TEST(!parse_minted_id("tl-zz"));
+    BOOST_TEST(uuid7_time("01938f2c-7d10-7abc-8def-0123456789ab")->count() == 0x01938f2c7d10LL);
+    BOOST_TEST(!uuid7_time("01938f2c-7d10-4abc-8def-0123456789ab"));
+    BOOST_TEST(!is_valid_job_id(""));
+    BOOST_TEST(!is_valid_job_id("a/b"));
+    BOOST_TEST(!is_valid_job_id(std::string(97, 'a')));
+}
+
+BOOST_AUTO_TEST_CASE(the_registry_forgets_after_the_window_and_drops_results_over_its_bound)
+{
+    job_registry registry(seconds(10), 100);
+    registry.start(instant(seconds(1)), "j", 1);
+    registry.finish(instant(seconds(2)), {"j", outcome::complete, reason::none, {"r"}, 0});
+    registry.expire(instant(seconds(3)));
+    BOOST_TEST(!registry.find("j")->results_dropped);
+    registry.finish(instant(seconds(4)),
+                    {"k", outcome::complete, reason::none, {std::string(200, 'x')}, 0});
+    registry.expire(instant(seconds(5)));
+    BOOST_TEST(registry.find("k")->results_dropped);
+    registry.expire(instant(seconds(13)));
+    BOOST_TEST((registry.find("j") == nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
