--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS := $(shell nproc)
 SOURCES = $(shell git ls-files '*.cpp' '*.hpp')
 
-.PHONY: build packages check demo format format-check lint test clean
+.PHONY: build packages check demo format format-check lint test clean bench bench-quick explore
 
 build: packages
 	cmake -S . -B $(BUILD) -G Ninja >/dev/null
@@ -29,5 +29,16 @@
 demo: build
 	tools/demo
 
+SEEDS ?= 100
+FIRST_SEED ?= 1
+explore: build
+	$(BUILD)/explore --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
+bench: build
+	python3 bench/run.py
+
+bench-quick: build
+	python3 bench/run.py --quick
+
 clean:
 	rm -rf $(BUILD)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,106 @@
+"""Fleets of real processes on loopback, for the bench."""
+import importlib.machinery
+import importlib.util
+import json
+import pathlib
+import subprocess
+import time
+import types
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = ROOT / "build"
+loader = importlib.machinery.SourceFileLoader("local_fleet", str(ROOT / "tools" / "local_fleet"))
+local_fleet = importlib.util.module_from_spec(
+    importlib.util.spec_from_loader("local_fleet", loader))
+loader.exec_module(local_fleet)
+
+PORT = 23000
+DECLARATIONS = BUILD / "bench" / "declarations.yaml"
+
+
+def http(method, address, path, body=""):
+    request = urllib.request.Request(f"http://{address}{path}", data=body.encode() or None,
+                                     method=method)
+    with urllib.request.urlopen(request, timeout=10) as answer:
+        return answer.read().decode()
+
+
+def counters(address):
+    """The plain counters and gauges of a process."""
+    values = {}
+    for line in http("GET", address, "/metrics").splitlines():
+        if line.startswith("#") or "{" in line:
+            continue
+        name, value = line.rsplit(" ", 1)
+        values[name.replace("tarragonlock_", "", 1)] = float(value)
+    return values
+
+
+class Fleet:
+    """A fleet that is up inside a with block."""
+
+    def __init__(self, entries=3, agents=11, backends=True, entry_options=None):
+        self.args = types.SimpleNamespace(
+            entries=entries, agents=agents, settings=None, no_backends=not backends, port=PORT,
+            entry_options=json.dumps(entry_options or {}))
+
+    def __enter__(self):
+        local_fleet.up(self.args)
+        self.members = json.loads(local_fleet.FLEET.read_text())
+        if not self.args.no_backends:
+            self.apply()
+        return self
+
+    def __exit__(self, *_):
+        local_fleet.down(None)
+
+    def http_of(self, role):
+        return [p["http"] for p in self.members if p["role"] == role]
+
+    @property
+    def entries(self):
+        return ",".join(self.http_of("entry"))
+
+    @property
+    def store(self):
+        return self.http_of("store")[0]
+
+    def apply(self, path=DECLARATIONS):
+        subprocess.run([BUILD / "tarragonlock", "apply", path, "--store", self.store, "--wait",
+                        "--entries", self.entries], check=True, capture_output=True)
+
+    def load(self, trace, name):
+        """Runs a trace and returns its result lines."""
+        results = BUILD / "bench" / f"{name}.results"
+        subprocess.run([BUILD / "tarragonlock-load", "--entries", self.entries, "--trace", trace,
+                        "--results", results], check=True, capture_output=True)
+        return [json.loads(line) for line in results.read_text().splitlines()]
+
+    def sum_of(self, role, name):
+        return sum(counters(address).get(name, 0) for address in self.http_of(role))
+
+    def messages(self):
+        return self.sum_of("entry", "messages_sent_total") + self.sum_of(
+            "agent", "agent_messages_sent_total")
+
+
+def cpu_seconds(pid):
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / 100.0
+
+
+def resident_mb(pid):
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def wait_until(condition, limit_s):
+    until = time.monotonic() + limit_s
+    while time.monotonic() < until:
+        if condition():
+            return True
+        time.sleep(0.01)
+    return False
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,232 @@
+#!/usr/bin/env python3
+"""Measures the contract's figures with real processes and writes build/bench/results.json and
+report.html. --quick runs shorter traces and fewer fleets."""
+import argparse
+import json
+import pathlib
+import subprocess
+import threading
+import time
+
+import fleet as fleets
+import trace as traces
+from report import write_report
+
+OUT = fleets.BUILD / "bench"
+TEAMS = """
+services:
+  - {name: clearing, max_queued_tasks: 1000000}
+selectors:
+  - {name: stop-orders, work: "kind=stop-order", urgency: 9}
+  - {name: bulk, work: "kind=bulk", urgency: 0}
+teams:
+  - {name: buyers, weight: 1}
+  - {name: flood, weight: 1, max_queued_tasks: 4000}
+"""
+STRATEGIES = ("earliest_finish", "least_outstanding", "round_robin", "random")
+
+
+def complete_times(lines, team=None):
+    return {line["id"]: line["response_ms"] for line in lines
+            if line["outcome"] == "complete" and team in (None, line["team"])}
+
+
+def measure_response(results, seconds, quick):
+    """Our placement and the baselines on one trace, one fleet after the other."""
+    jobs = traces.make(1, seconds, 0.7)
+    warm = traces.write(traces.make(2, 5, 0.6, prefix="w"), OUT / "warm.trace")
+    path = traces.write(jobs, OUT / "response.trace")
+    ideal = traces.ideal(jobs)
+    times = {}
+    for strategy in STRATEGIES[:2] if quick else STRATEGIES:
+        with fleets.Fleet(entry_options={"placement": strategy}) as fleet:
+            fleet.load(warm, "warm")
+            before = fleet.messages(), fleet.sum_of("entry", "messages_wasted_total") + \
+                fleet.sum_of("agent", "agent_offers_unused_total")
+            times[strategy] = complete_times(fleet.load(path, strategy))
+            sent = fleet.messages() - before[0]
+            wasted = fleet.sum_of("entry", "messages_wasted_total") + fleet.sum_of(
+                "agent", "agent_offers_unused_total") - before[1]
+            if strategy == STRATEGIES[0]:
+                results["messages.per_task"] = sent / sum(len(job["tasks"]) for job in jobs)
+                results["messages.wasted_share"] = wasted / sent
+    for share in (0.5, 0.99):
+        key = f"p{int(share * 100)}"
+        best = traces.quantile(ideal.values(), share)
+        for strategy, measured in times.items():
+            results[f"response.{strategy}.{key}_ms"] = traces.quantile(measured.values(), share)
+        results[f"response.{key}_vs_ideal"] = results[f"response.earliest_finish.{key}_ms"] / best
+        results[f"response.ideal.{key}_ms"] = best
+    results["response.complete_share"] = len(times[STRATEGIES[0]]) / len(jobs)
+    results["response.p99_vs_least_outstanding"] = (
+        results["response.earliest_finish.p99_ms"] / results["response.least_outstanding.p99_ms"])
+    return {"ideal": ideal, **times}
+
+
+def measure_flood(results, name, kind, seconds):
+    """Other work before and during a flood of ten times the fleet's capacity from one team."""
+    before = traces.make(3, seconds, 0.3, max_tasks=20, prefix=f"{name}-before")
+    during = traces.make(3, seconds, 0.3, max_tasks=20, prefix=f"{name}-during")
+    flood = traces.make(4, seconds, 10.0, team="flood", kind=kind, prefix=f"{name}-flood")
+    for job in flood:
+        job["deadline_ms"] = 4000
+    with fleets.Fleet() as fleet:
+        fleet.load(traces.write(traces.make(2, 6, 0.5, prefix="w"), OUT / "warm.trace"), "warm")
+        calm = fleet.load(traces.write(before, OUT / "before.trace"), f"{name}-before")
+        mixed = fleet.load(traces.write(during + flood, OUT / "flood.trace"), f"{name}-during")
+    calm_times = complete_times(calm)
+    mixed_times = complete_times(mixed, "buyers")
+    results[f"flood.{name}.kept_goodput"] = len(mixed_times) / max(1, len(calm_times))
+    results[f"flood.{name}.kept_p99"] = (traces.quantile(mixed_times.values(), 0.99) /
+                                         traces.quantile(calm_times.values(), 0.99))
+
+
+def measure_black_hole(results, seconds):
+    """One worker fails everything from a moment on."""
+    jobs = traces.make(5, seconds + 3, 0.5, max_tasks=1, prefix="hole")
+    with fleets.Fleet() as fleet:
+        fleet.load(traces.write(traces.make(2, 6, 0.5, prefix="w"), OUT / "warm.trace"), "warm")
+        backend = fleet.http_of("backend")[0]
+        timer = threading.Timer(3.0, fleets.http, ("PUT", backend, "/mode", "fail"))
+        timer.start()
+        lines = fleet.load(traces.write(jobs, OUT / "hole.trace"), "hole")
+    after = [line for line in lines if line["at_ms"] > 3000]
+    results["faults.black_hole_lost_share"] = sum(
+        line["outcome"] != "complete" for line in after) / max(1, len(after))
+
+
+def measure_config(results, changes):
+    """From accepted to in force in every entry and worker."""
+    took = []
+    with fleets.Fleet() as fleet:
+        for change in range(changes):
+            path = OUT / "change.yaml"
+            path.write_text(TEAMS + f"# change {change}\n", encoding="utf-8")
+            answer = subprocess.run([fleets.BUILD / "tarragonlock", "apply", path, "--store",
+                                     fleet.store, "--json"], capture_output=True, check=True)
+            version = json.loads(answer.stdout)["version"]
+            start = time.monotonic()
+            fleets.wait_until(lambda: all(
+                fleets.counters(address)["config_version"] >= version
+                for address in fleet.http_of("entry")) and all(
+                    fleets.counters(address)["agent_config_version"] >= version
+                    for address in fleet.http_of("agent")), 12)
+            took.append((time.monotonic() - start) * 1000)
+    results["config.in_force_p99_ms"] = traces.quantile(took, 0.99)
+
+
+def announce_to(fleet):
+    """Announces a backend server to each agent, so that agents report their load."""
+    for address in fleet.http_of("agent"):
+        fleets.http("POST", address, "/v1/announce", json.dumps(
+            {"service": "clearing", "address": "127.0.0.1:9", "slots": 8}))
+
+
+def measure_control(results, sizes, seconds):
+    """Cost of an idle entry at several fleet sizes; the slope gives the cost at 840 agents."""
+    points = []
+    for size in sizes:
+        with fleets.Fleet(entries=3, agents=size, backends=False) as fleet:
+            stop = threading.Event()
+
+            def heartbeat():
+                while not stop.is_set():
+                    announce_to(fleet)
+                    stop.wait(1.0)
+            announcer = threading.Thread(target=heartbeat)
+            announcer.start()
+            time.sleep(2)
+            entry = next(p for p in fleet.members if p["role"] == "entry")
+            agent = next(p for p in fleet.members if p["role"] == "agent")
+            first = sample(entry, agent, fleet)
+            time.sleep(seconds)
+            last = sample(entry, agent, fleet)
+            stop.set()
+            announcer.join()
+        point = {key: (last[key] - first[key]) / seconds for key in first if key != "mb"}
+        points.append({"agents": size, "mb": last["mb"], **point})
+    for key, name in (("entry_bytes", "control.entry_bytes_per_s_at_840"),
+                      ("cpu", "control.entry_cpu_at_840"), ("mb", "control.entry_mb_at_840")):
+        results[name] = extrapolate(points, key, 840)
+    results["control.agent_bytes_per_s_at_840"] = max(point["agent_bytes"] for point in points)
+    results["config.store_calls_per_s"] = points[-1]["store_calls"]
+    results["config.store_calls_slope_per_agent"] = slope(points, "store_calls")
+    return points
+
+
+def sample(entry, agent, fleet):
+    of_entry = fleets.counters(entry["http"])
+    of_agent = fleets.counters(agent["http"])
+    return {"entry_bytes": of_entry["link_bytes_sent_total"] +
+            of_entry["link_bytes_received_total"],
+            "agent_bytes": of_agent["agent_link_bytes_sent_total"] +
+            of_agent["agent_link_bytes_received_total"],
+            "cpu": fleets.cpu_seconds(entry["pid"]), "mb": fleets.resident_mb(entry["pid"]),
+            "store_calls": float(fleets.http("GET", fleet.store, "/calls"))}
+
+
+def slope(points, key):
+    mean_x = sum(p["agents"] for p in points) / len(points)
+    mean_y = sum(p[key] for p in points) / len(points)
+    spread = sum((p["agents"] - mean_x) ** 2 for p in points)
+    return sum((p["agents"] - mean_x) * (p[key] - mean_y) for p in points) / spread
+
+
+def extrapolate(points, key, agents):
+    mean_x = sum(p["agents"] for p in points) / len(points)
+    mean_y = sum(p[key] for p in points) / len(points)
+    return mean_y + slope(points, key) * (agents - mean_x)
+
+
+def measure_throughput(results):
+    answer = subprocess.run([fleets.BUILD / "bench_throughput", "840"], capture_output=True,
+                            check=True)
+    results["throughput.starts_per_s"] = json.loads(answer.stdout)["starts_per_s"]
+
+
+def measure_faults(results, seeds):
+    """Violations that the history checker counts over random schedules of the shipped decisions."""
+    answer = subprocess.run([fleets.BUILD / "explore", "--seeds", str(seeds), "--first-seed",
+                             "100001"], capture_output=True, text=True, check=False)
+    lines = [line for line in answer.stdout.splitlines() if "VIOLATION" in line]
+    results["faults.entry_kill_double_starts"] = sum("started twice" in line for line in lines)
+    results["faults.entry_kill_false_refusals"] = sum("refused" in line for line in lines)
+    results["faults.partial_answers"] = sum("partial" in line for line in lines)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--only", default="", help="measure one part")
+    args = parser.parse_args()
+    OUT.mkdir(parents=True, exist_ok=True)
+    fleets.DECLARATIONS.write_text(TEAMS, encoding="utf-8")
+    results, details = {}, {}
+    quick = args.quick
+    parts = {
+        "throughput": lambda: measure_throughput(results),
+        "faults": lambda: measure_faults(results, 200 if quick else 2000),
+        "response": lambda: details.update(
+            times=measure_response(results, 6 if quick else 14, quick)),
+        "flood": lambda: [measure_flood(results, name, kind, 8) for name, kind in
+                          (("low", "bulk"), ("high", "stop-order"))],
+        "hole": lambda: measure_black_hole(results, 10 if quick else 30),
+        "config": lambda: measure_config(results, 3 if quick else 15),
+        "control": lambda: details.update(control=measure_control(
+            results, (20, 40, 60), 5 if quick else 8)),
+    }
+    quick_parts = ("throughput", "faults", "response", "config")
+    for name, part in parts.items():
+        if args.only and name != args.only or quick and not args.only and name not in quick_parts:
+            continue
+        start = time.monotonic()
+        part()
+        print(f"{name}: {time.monotonic() - start:.0f} s", flush=True)
+    (OUT / "results.json").write_text(json.dumps(results, indent=1, sort_keys=True))
+    write_report(OUT / "report.html", results, details)
+    for key in sorted(results):
+        print(f"{key:<44} {results[key]:.4g}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/throughput.cpp
@@ -0,0 +1,124 @@
+// Start decisions a second through one entry's dispatcher: one thread, 840 agents, 40 teams.
+// With --memory it prints the memory that an entry's directory takes for a number of agents.
+
+#include "tarragonlock/request/dispatcher.hpp"
+
+#include <sys/resource.h>
+
+#include <cstring>
+#include <iostream>
+#include <string>
+
+using namespace tarragonlock;
+
+namespace
+{
+
+constexpr std::uint32_t slots = 8;
+constexpr std::uint32_t teams = 40;
+constexpr std::uint32_t tasks_per_job = 60;
+constexpr std::uint32_t waiting_goal = 20'000;
+
+std::string document()
+{
+    std::string text = "services: [{name: s, max_queued_tasks: 1000000}]\nteams:\n";
+    for (std::uint32_t i = 0; i < teams; ++i)
+        text += "  - {name: t" + std::to_string(i) + ", max_queued_tasks: 1000000}\n";
+    return text;
+}
+
+/// The dispatcher with agents that end every task at once.
+class bench
+{
+public:
+    explicit bench(std::uint32_t agents)
+        : directory_({}, std::chrono::minutes(10)),
+          jobs_({}, directory_, make_placement("earliest_finish").value(),
+                [](const start_right&) { return true; }),
+          received_(agents)
+    {
+        diagnostics faults;
+        jobs_.use(now_, 1,
+                  std::make_shared<const declarations>(
+                      declarations::parse(document(), "bench", faults).value()));
+        for (std::uint32_t i = 0; i < agents; ++i)
+        {
+            announce notice;
+            notice.incarnation = 1;
+            notice.service = "s";
+            notice.slots = slots;
+            notice.load.free_slots = slots;
+            directory_.on_announce(now_, "worker-" + std::to_string(i), notice);
+        }
+    }
+
+    void submit()
+    {
+        submission job;
+        job.id = "job-" + std::to_string(submitted_);
+        job.service = "s";
+        job.team = "t" + std::to_string(submitted_++ % teams);
+        job.deadline_ms = 600'000;
+        job.tasks.resize(tasks_per_job);
+        if (!jobs_.refusal(job))
+            jobs_.admit(now_, std::move(job), {});
+    }
+
+    /// Answers every start that went out; each result frees a slot.
+    void round()
+    {
+        while (jobs_.waiting_tasks() < waiting_goal)
+            submit();
+        jobs_.pump(now_);
+        now_ += std::chrono::milliseconds(1);
+        for (const auto& outgoing : jobs_.take_messages())
+        {
+            const auto* batch = std::get_if<start_tasks>(&outgoing.body);
+            if (batch == nullptr)
+                continue;
+            const auto worker = *directory_.find(outgoing.to);
+            received_[worker] += batch->tasks.size();
+            worker_load load;
+            load.free_slots = slots;
+            load.tasks_received = received_[worker];
+            directory_.on_load(now_, outgoing.to, load);
+            std::vector<task_outcome> outcomes;
+            for (const auto& task : batch->tasks)
+                outcomes.push_back(
+                    {batch->job, task.index, task.attempt, task_status::succeeded, 300, ""});
+            jobs_.on_results(now_, worker, outcomes);
+        }
+        (void)jobs_.take_answers();
+    }
+
+    std::uint64_t sent() const { return jobs_.counters().tasks_sent; }
+
+private:
+    instant now_{std::chrono::seconds(1)};
+    worker_directory directory_;
+    dispatcher jobs_;
+    std::vector<std::uint64_t> received_;
+    std::uint64_t submitted_ = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto agents =
+        argc > 1 ? static_cast<std::uint32_t>(std::strtoul(argv[1], nullptr, 10)) : 840U;
+    bench run(agents);
+    const auto start = std::chrono::steady_clock::now();
+    std::chrono::duration<double> passed{};
+    while (passed < std::chrono::seconds(2))
+    {
+        run.round();
+        passed = std::chrono::steady_clock::now() - start;
+    }
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    std::cout << "{\"agents\": " << agents
+              << ", \"starts_per_s\": " << static_cast<double>(run.sent()) / passed.count()
+              << ", \"max_rss_mb\": " << usage.ru_maxrss / 1024 << "}\n";
+    return 0;
+}
