--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -40,9 +40,11 @@
 class Fleet:
     """A fleet that is up inside a with block."""
 
-    def __init__(self, entries=3, agents=11, backends=True, entry_options=None):
+    def __init__(self, entries=3, agents=11, backends=True, entry_options=None,
+                 relay_offset=0):
         self.args = types.SimpleNamespace(
             entries=entries, agents=agents, settings=None, no_backends=not backends, port=PORT,
+            relay_offset=relay_offset,
             entry_options=json.dumps(entry_options or {}))
 
     def __enter__(self):
--- a/bench/run.py
+++ b/bench/run.py
@@ -11,6 +11,7 @@
 import fleet as fleets
 import trace as traces
 from report import write_report
+from silent_proxy import SilentProxy
 
 OUT = fleets.BUILD / "bench"
 TEAMS = """
@@ -95,6 +96,22 @@
         line["outcome"] != "complete" for line in after) / max(1, len(after))
 
 
+def measure_silent(results, rounds):
+    """From the only connection to the only worker falling silent to the next answer."""
+    took = []
+    with SilentProxy(("127.0.0.1", fleets.PORT + 150), ("127.0.0.1", fleets.PORT + 100)) as proxy:
+        with fleets.Fleet(entries=1, agents=1, relay_offset=50) as fleet:
+            for number in range(rounds):
+                time.sleep(1)
+                proxy.silence()
+                start = time.monotonic()
+                body = {"service": "clearing", "team": "buyers",
+                        "tasks": [{"body": {"ms": 1, "text": ""}}]}
+                fleets.http("PUT", fleet.entries, f"/v1/jobs/silent-{number}", json.dumps(body))
+                took.append((time.monotonic() - start) * 1000)
+    results["faults.silent_connection_recovery_ms"] = max(took)
+
+
 def measure_config(results, changes):
     """From accepted to in force in every entry and worker."""
     took = []
@@ -211,11 +228,12 @@
         "flood": lambda: [measure_flood(results, name, kind, 8) for name, kind in
                           (("low", "bulk"), ("high", "stop-order"))],
         "hole": lambda: measure_black_hole(results, 10 if quick else 30),
+        "silent": lambda: measure_silent(results, 3 if quick else 8),
         "config": lambda: measure_config(results, 3 if quick else 15),
         "control": lambda: details.update(control=measure_control(
             results, (20, 40, 60), 5 if quick else 8)),
     }
-    quick_parts = ("throughput", "faults", "response", "config")
+    quick_parts = ("throughput", "faults", "response", "silent", "config")
     for name, part in parts.items():
         if args.only and name != args.only or quick and not args.only and name not in quick_parts:
             continue
--- a/include/tarragonlock/connection/worker_directory.hpp
+++ b/include/tarragonlock/connection/worker_directory.hpp
@@ -154,6 +154,7 @@
     std::vector<worker_pool> pools_;
     /// Earlier incarnations of workers and when they were replaced.
     std::vector<std::pair<process_id, instant>> replaced_;
+    instant ticked_;
     instant speeds_refreshed_;
 };
 
--- a/include/tarragonlock/process/agent_core.hpp
+++ b/include/tarragonlock/process/agent_core.hpp
@@ -37,14 +37,16 @@
     duration record_window = std::chrono::minutes(10);
     std::size_t record_bytes = 64U << 20U;
     /// Age at which a grant stamp no longer allows a start.
-    duration grant_lifetime = std::chrono::seconds(10);
-    duration heartbeat_interval = std::chrono::seconds(4);
+    duration grant_lifetime = std::chrono::seconds(20);
+    duration heartbeat_interval = std::chrono::seconds(9);
     /// Time for which slots offered to one entry are kept from the others.
     duration offer_lifetime = std::chrono::milliseconds(20);
     /// Time without an announcement after which the backend server counts as gone.
     duration announcement_lifetime = std::chrono::seconds(3);
     /// Longest time that results of a job with more tasks here wait to travel together.
     duration result_delay = std::chrono::milliseconds(20);
+    /// Failures in a row at which every entry is told.
+    std::uint32_t failures_to_tell = 3;
     agent_mechanisms mechanisms;
 };
 
@@ -174,6 +176,7 @@
     void offer_slots(instant now);
     void announce_to(instant now, const std::string& entry);
     void announce_to_all(instant now);
+    void tell_load(instant now);
     worker_load load_for(instant now, entry_view& entry);
     std::uint32_t free_slots() const;
     std::uint32_t offered_to_others(instant now, const entry_view& entry);
--- a/include/tarragonlock/request/dispatcher.hpp
+++ b/include/tarragonlock/request/dispatcher.hpp
@@ -175,6 +175,7 @@
     absl::btree_set<std::pair<instant, job_handle>> deadlines_;
     job_handle next_handle_ = 1;
     std::size_t notice_cursor_ = 0;
+    instant lost_checked_;
     std::vector<send_message> messages_;
     /// Jobs to cancel at each worker, sent together.
     std::map<worker_index, std::vector<std::string>> pending_cancels_;
--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -39,7 +39,7 @@
 constexpr int poll_interval_ms = 20;
 constexpr std::size_t events_per_poll = 256;
 /// Connections are checked for silence and due acknowledgements this often.
-constexpr auto maintenance_interval = std::chrono::milliseconds(10);
+constexpr auto maintenance_interval = std::chrono::milliseconds(25);
 
 struct keep_command
 {
--- a/src/connection/worker_directory.cpp
+++ b/src/connection/worker_directory.cpp
@@ -13,6 +13,8 @@
 constexpr double slowness_gain = 0.05;
 /// Weight of the pool's mean against a new worker's own samples.
 constexpr double prior_samples = 4.0;
+/// Workers are looked through this often, not on every tick of the entry.
+constexpr auto tick_interval = std::chrono::milliseconds(100);
 constexpr auto speed_refresh_interval = std::chrono::milliseconds(200);
 
 } // namespace
@@ -286,6 +288,9 @@
 
 void worker_directory::on_tick(instant now)
 {
+    if (now - ticked_ < tick_interval)
+        return;
+    ticked_ = now;
     for (worker_index worker = 0; worker < workers_.size(); ++worker)
     {
         auto& view = workers_[worker];
--- a/src/process/agent_core.cpp
+++ b/src/process/agent_core.cpp
@@ -333,6 +333,8 @@
     report(now, owner, std::move(outcome));
     offer_slots(now);
     flush(now, owner, false);
+    if (consecutive_failures_ == options_.failures_to_tell)
+        tell_load(now);
 }
 
 void agent_core::report(instant now, const std::string& entry, task_outcome outcome)
@@ -463,6 +465,17 @@
         announce_to(now, entry);
 }
 
+/// Tells every entry at once, because one that hears of failures only with its own results would
+/// lose as many tasks as the others did.
+void agent_core::tell_load(instant now)
+{
+    for (auto& [entry, view] : entries_)
+    {
+        if (view.connected)
+            send(now, entry, load_report{options_.incarnation, load_for(now, view)});
+    }
+}
+
 void agent_core::observe_config(std::uint64_t version)
 {
     config_version_ = std::max(config_version_, version);
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -15,6 +15,7 @@
 }
 
 constexpr double short_retry_ms = 1000.0;
+constexpr auto lost_check_interval = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -274,6 +275,9 @@
 
 void dispatcher::expire_lost_workers(instant now)
 {
+    if (now - lost_checked_ < lost_check_interval)
+        return;
+    lost_checked_ = now;
     for (worker_index worker = 0; worker < directory_.size(); ++worker)
     {
         const auto& view = directory_.at(worker);
--- a/tests/fakes/virtual_fleet.hpp
+++ b/tests/fakes/virtual_fleet.hpp
@@ -151,6 +151,8 @@
 
     mechanisms enabled_;
     std::mt19937_64 random_;
+    /// Apart, so that identifiers don't depend on how many messages were sent before.
+    std::mt19937_64 id_random_;
     instant now_;
     std::uint64_t order_ = 0;
     std::uint64_t next_number_ = 1;
--- /dev/null
+++ b/tests/process/fleet_test.py
@@ -0,0 +1,144 @@
+#!/usr/bin/env python3
+"""Runs real processes: crossed callers, a killed entry, a paused one, a graceful stop, bad input."""
+import concurrent.futures
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+FLEET = ROOT / "build" / "run" / "fleet.json"
+PORT = 25000
+ENTRIES = [f"127.0.0.1:{PORT + 200 + i}" for i in range(3)]
+PATIENCE_S = 60
+
+
+def call(method, address, path, body=None):
+    data = body if isinstance(body, bytes) else None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=PATIENCE_S) as answer:
+            return answer.status, json.loads(answer.read() or b"{}")
+    except urllib.error.HTTPError as error:
+        text = error.read()
+        return error.code, json.loads(text) if text else {}
+    except OSError:
+        return 0, {"outcome": "no connection"}
+
+
+def job(name, tasks, ms=30):
+    return {"service": "clearing", "team": "buyers", "labels": {"kind": "title-list"},
+            "tasks": [{"body": {"ms": ms, "text": f"{name}/{i}"}} for i in range(tasks)]}
+
+
+def submit(entry, name, tasks, ms=30):
+    return call("PUT", entry, f"/v1/jobs/{name}", job(name, tasks, ms))
+
+
+def members(role):
+    return [p for p in json.loads(FLEET.read_text()) if p["role"] == role]
+
+
+def starts():
+    total = 0
+    for backend in members("backend"):
+        with urllib.request.urlopen(f"http://{backend['http']}/starts", timeout=5) as answer:
+            total += int(answer.read())
+    return total
+
+
+def expect(condition, text):
+    print(("ok     " if condition else "FAILED ") + text, flush=True)
+    if not condition:
+        sys.exit(1)
+
+
+def own(answer, name, tasks):
+    return answer.get("results") == [f"{name}/{i}" for i in range(tasks)]
+
+
+def crossed_callers(pool):
+    """Every id at all entries at once; each caller gets its own whole answer, each task one start."""
+    before = starts()
+    names = [f"crossed-{i}" for i in range(20)]
+    calls = [(entry, name) for name in names for entry in ENTRIES]
+    answers = list(pool.map(lambda c: (c[1], submit(c[0], c[1], 5)[1]), calls))
+    expect(all(own(answer, name, 5) for name, answer in answers), "each caller gets its own answer")
+    expect(starts() - before == len(names) * 5, "each task started once for three submissions")
+
+
+def bad_input():
+    body = job("bad", 1)
+    expect(call("PUT", ENTRIES[0], "/v1/jobs/bad", b"{")[0] == 400, "broken JSON is refused")
+    expect(call("PUT", ENTRIES[0], "/v1/jobs/bad", {**body, "tasks": []})[0] == 400,
+           "no tasks are refused")
+    expect(call("PUT", ENTRIES[0], "/v1/jobs/bad", {**body, "service": "x"})[0] == 404,
+           "an unknown service is refused")
+    expect(call("PUT", ENTRIES[0], "/v1/jobs/a%20b", body)[0] == 400, "a bad id is refused")
+    expect(call("PUT", ENTRIES[0], "/v1/jobs/bad", b"x" * 5_000_000)[0] in (0, 413),
+           "too large a body is refused")
+    expect(call("GET", ENTRIES[0], "/v1/jobs/never-seen")[0] == 404, "an unknown id is not found")
+
+
+def killed_entry(pool):
+    """An entry dies with jobs in progress; resubmissions end without a second start."""
+    before = starts()
+    victim = members("entry")[2]
+    names = [f"killed-{i}" for i in range(12)]
+    first = [pool.submit(submit, ENTRIES[i % 3], name, 4, 400) for i, name in enumerate(names)]
+    time.sleep(0.2)
+    os.kill(victim["pid"], signal.SIGKILL)
+    concurrent.futures.wait(first)
+    again = [submit(ENTRIES[i % 2], name, 4, 400)[1] for i, name in enumerate(names)]
+    expect(all(a["outcome"] == "complete" and own(a, n, 4) for a, n in zip(again, names)),
+           "every job is complete after its entry was killed")
+    expect(starts() - before == len(names) * 4, "no task started twice")
+
+
+def paused_agent(pool):
+    """An agent stops for longer than the silence limit and goes on; nothing starts twice."""
+    before = starts()
+    agent = members("agent")[0]
+    jobs = [pool.submit(submit, ENTRIES[i % 2], f"paused-{i}", 6, 300) for i in range(6)]
+    time.sleep(0.15)
+    os.kill(agent["pid"], signal.SIGSTOP)
+    time.sleep(2)
+    os.kill(agent["pid"], signal.SIGCONT)
+    answers = [future.result()[1] for future in jobs]
+    expect(all(a["outcome"] == "complete" for a in answers), "jobs end after a pause")
+    expect(starts() - before == 36, "no task started twice after a pause")
+
+
+def graceful_stop(pool):
+    """SIGTERM to an entry cuts no request in progress."""
+    jobs = [pool.submit(submit, ENTRIES[1], f"stopped-{i}", 6, 400) for i in range(6)]
+    time.sleep(0.2)
+    os.kill(members("entry")[1]["pid"], signal.SIGTERM)
+    answers = [future.result()[1] for future in jobs]
+    expect(all(a["outcome"] == "complete" for a in answers), "a planned stop cuts no request")
+
+
+def main():
+    subprocess.run([ROOT / "tools" / "local_fleet", "up", "--agents", "4", "--port", str(PORT)],
+                   check=True)
+    try:
+        subprocess.run([ROOT / "build" / "tarragonlock", "apply", ROOT / "examples/clearing.yaml",
+                        "--store", f"127.0.0.1:{PORT}", "--wait", "--entries", ",".join(ENTRIES)],
+                       check=True)
+        with concurrent.futures.ThreadPoolExecutor(64) as pool:
+            crossed_callers(pool)
+            bad_input()
+            paused_agent(pool)
+            killed_entry(pool)
+            graceful_stop(pool)
+    finally:
+        subprocess.run([ROOT / "tools" / "local_fleet", "down"], check=True)
+
+
+if __name__ == "__main__":
+    main()
