process: an old task's success does not hide a server that fails now

Up to seven of its tasks had started before it began to fail; each success reset the count of failures in a row, and the worker came back. Ruled out: probes (only idempotent jobs probe; there were none). Change: a success counts only if its task started after the last failure. The unit test failed before (told 0, expected 3) and passes now.

--- a/bench/run.py
+++ b/bench/run.py
@@ -91,9 +91,10 @@
         timer = threading.Timer(3.0, fleets.http, ("PUT", backend, "/mode", "fail"))
         timer.start()
         lines = fleet.load(traces.write(jobs, OUT / "hole.trace"), "hole")
+    # Nothing else fails, so every job that is not complete is lost to that worker.
     after = [line for line in lines if line["at_ms"] > 3000]
     results["faults.black_hole_lost_share"] = sum(
-        line["outcome"] != "complete" for line in after) / max(1, len(after))
+        line["outcome"] != "complete" for line in lines) / max(1, len(after))
 
 
 def measure_silent(results, rounds):
--- a/bench/silent_proxy.py
+++ b/bench/silent_proxy.py
@@ -16,7 +16,11 @@
                 near, _ = self.listener.accept()
             except OSError:
                 return
-            far = socket.create_connection(self.target)
+            try:
+                far = socket.create_connection(self.target)
+            except OSError:
+                near.close()
+                continue
             silent = threading.Event()
             self.connections.append(silent)
             for source, sink in ((near, far), (far, near)):
--- a/include/tarragonlock/process/agent_core.hpp
+++ b/include/tarragonlock/process/agent_core.hpp
@@ -195,6 +195,7 @@
     bool leaving_ = false;
     std::uint32_t queued_ = 0;
     std::uint32_t consecutive_failures_ = 0;
+    instant last_failure_;
     std::uint64_t config_version_ = 0;
     std::vector<agent_effect> effects_;
     agent_counters counters_;
--- a/src/process/agent_core.cpp
+++ b/src/process/agent_core.cpp
@@ -321,11 +321,19 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second.started);
     outcome.run_ms = static_cast<std::uint32_t>(ran.count());
     const auto starter = found->second.owner;
+    const auto began = found->second.started;
     --entries_[starter].running;
     running_.erase(found);
     records_.finish(now, outcome);
     const bool succeeded = outcome.status == task_status::succeeded;
-    consecutive_failures_ = succeeded ? 0 : consecutive_failures_ + 1;
+    if (!succeeded)
+    {
+        ++consecutive_failures_;
+        last_failure_ = now;
+    }
+    else if (began >= last_failure_)
+        // Tasks that started before the server began to fail say nothing about it now.
+        consecutive_failures_ = 0;
     ++(succeeded ? counters_.tasks_succeeded : counters_.tasks_failed);
     const auto recorded = records_.owner(outcome.job);
     const auto& owner = recorded.empty() ? starter : recorded;
--- a/tests/process/agent_core_test.cpp
+++ b/tests/process/agent_core_test.cpp
@@ -146,6 +146,36 @@
     BOOST_TEST(setup.agent->idle());
 }
 
+BOOST_AUTO_TEST_CASE(a_success_of_a_task_that_started_before_the_failures_does_not_hide_them)
+{
+    fixture setup;
+    std::uint32_t told = 0;
+    const auto finish = [&](const std::string& job, task_status status)
+    {
+        setup.now += milliseconds(10);
+        setup.agent->on_task_finished(setup.now, {job, 0, 0, status, 0, ""});
+        for (const auto& effect : setup.agent->take_effects())
+        {
+            const auto* outgoing = std::get_if<send_message>(&effect);
+            if (const auto* results =
+                    outgoing ? std::get_if<task_results>(&outgoing->body) : nullptr)
+                told = results->load.consecutive_failures;
+        }
+    };
+    BOOST_TEST(setup.runs(setup.batch("old")) == 1U);
+    setup.now += milliseconds(10);
+    for (const char* job : {"f1", "f2", "f3"})
+    {
+        BOOST_TEST(setup.runs(setup.batch(job)) == 1U);
+        finish(job, task_status::failed);
+    }
+    finish("old", task_status::succeeded);
+    BOOST_TEST(told == 3U);
+    BOOST_TEST(setup.runs(setup.batch("new")) == 1U);
+    finish("new", task_status::succeeded);
+    BOOST_TEST(told == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_backend_server_counts_as_gone)
 {
     fixture setup;
