--- a/include/tarragonlock/process/agent_core.hpp
+++ b/include/tarragonlock/process/agent_core.hpp
@@ -164,6 +164,8 @@
         // Messages between entries are not for agents.
     }
 
+    /// @return the agent's clock in milliseconds.
+    static std::uint64_t grant_stamp(instant now);
     bool may_start(instant now, const start_tasks& batch);
     bool known_to_majority() const;
     bool fenced(std::uint32_t shard, std::uint64_t epoch) const;
--- a/include/tarragonlock/process/entry_core.hpp
+++ b/include/tarragonlock/process/entry_core.hpp
@@ -118,6 +118,10 @@
     std::string describe(const std::string& id) const;
 
 private:
+    /// Time beyond a job's deadline for which its owner's answer is waited for.
+    static constexpr duration forward_grace = std::chrono::seconds(2);
+    static constexpr duration not_ready_retry = std::chrono::seconds(1);
+
     entry_core(entry_options options, instant now, std::unique_ptr<placement_strategy> placement);
 
     /// Who waits for a job: a caller here, or an entry that passed the submission on.
--- a/include/tarragonlock/request/placement.hpp
+++ b/include/tarragonlock/request/placement.hpp
@@ -19,6 +19,8 @@
     double expected_ms = 0.0;
     /// Tasks that wait in the pool, this one included.
     std::uint32_t waiting = 1;
+    /// Waiting tasks of the job itself.
+    std::uint32_t job_waiting = 1;
     /// Time until the job's tasks that already run are expected to end.
     double job_runs_for_ms = 0.0;
     /// Whether the task may serve as a probe of an ejected worker.
--- a/include/tarragonlock/version/store_client.hpp
+++ b/include/tarragonlock/version/store_client.hpp
@@ -108,7 +108,7 @@
 public:
     using sink = std::function<void(store_event)>;
 
-    store_client(store_options options, sink on_event);
+    store_client(const store_options& options, sink on_event);
     ~store_client();
     store_client(const store_client&) = delete;
     store_client& operator=(const store_client&) = delete;
--- /dev/null
+++ b/src/process/entry_core_answers.cpp
@@ -0,0 +1,161 @@
+// What an entry answers: replies, waiting callers, requests passed on or held back.
+
+#include "tarragonlock/process/entry_core.hpp"
+
+#include <algorithm>
+
+namespace tarragonlock
+{
+
+void entry_core::deliver(const waiter& to, const answer& reply)
+{
+    if (!to.entry.empty())
+        return send(to.entry, forward_answer{to.request, false, reply});
+    ++counters_.answers[reply.outcome];
+    effects_.emplace_back(reply_to_caller{to.caller, reply});
+}
+
+void entry_core::deliver(const waiter& to, const std::string& id, outcome what, reason why,
+                         duration retry)
+{
+    deliver(to, {id, what, why, {}, static_cast<std::uint32_t>(retry.count() / 1000)});
+}
+
+/// Passes on what the dispatcher has decided.
+void entry_core::collect(instant now)
+{
+    for (auto& reply : dispatcher_->take_answers())
+    {
+        const auto waiting = waiters_.extract(reply.id);
+        // A refused job was not run, so the same id may be tried again.
+        if (reply.outcome == outcome::refused)
+            registry_.forget(reply.id);
+        else
+            registry_.finish(now, reply);
+        if (!waiting.empty())
+        {
+            for (const auto& to : waiting.mapped())
+                deliver(to, reply);
+        }
+        if (const auto moved = handed_over_.find(reply.id); moved != handed_over_.end())
+        {
+            const auto* known = registry_.find(reply.id);
+            send(moved->second, handover{ownership_.table().version,
+                                         {},
+                                         {},
+                                         {{reply.id, known ? known->digest : 0, true, reply}}});
+            handed_over_.erase(moved);
+        }
+    }
+    for (auto& item : dispatcher_->take_messages())
+        send(item.to, std::move(item.body));
+}
+
+void entry_core::expire_waiters(instant now)
+{
+    for (auto& [id, waiters] : waiters_)
+    {
+        for (const auto& waiting : waiters)
+        {
+            if (!waiting.until || *waiting.until > now)
+                continue;
+            if (waiting.entry.empty())
+                effects_.emplace_back(reply_to_caller{waiting.caller, std::nullopt});
+            else
+                send(waiting.entry, forward_answer{waiting.request, true, {}});
+        }
+        std::erase_if(waiters, [&](const waiter& w) { return w.until && *w.until <= now; });
+    }
+}
+
+void entry_core::repeat_forwards(instant now)
+{
+    std::vector<forward> again;
+    for (auto item = forwards_.begin(); item != forwards_.end();)
+    {
+        auto& [request, pending] = *item;
+        if (pending.deadline <= now)
+        {
+            deliver(pending.from, pending.id, outcome::unknown, reason::owner_unreachable,
+                    not_ready_retry);
+            item = forwards_.erase(item);
+            continue;
+        }
+        if (pending.from.entry.empty() && pending.from.until && *pending.from.until <= now)
+        {
+            effects_.emplace_back(reply_to_caller{pending.from.caller, std::nullopt});
+            item = forwards_.erase(item);
+            continue;
+        }
+        const auto owner = ownership_.owner(shard_of(pending.id));
+        const bool moved =
+            minter_of(pending.id).empty() && !owner.empty() && owner != pending.target;
+        const bool repeat =
+            (moved || pending.lost) && now - pending.sent >= options_.forward_repeat;
+        if (!repeat || !pending.job)
+        {
+            ++item;
+            continue;
+        }
+        again.push_back(std::move(pending));
+        item = forwards_.erase(item);
+    }
+    for (auto& pending : again)
+    {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            pending.deadline - forward_grace - now);
+        if (left.count() <= 0)
+        {
+            deliver(pending.from, pending.id, outcome::unknown, reason::owner_unreachable);
+            continue;
+        }
+        pending.job->deadline_ms = static_cast<std::uint32_t>(left.count());
+        submit(now, std::move(pending.from), std::move(*pending.job));
+    }
+}
+
+/// Tries submissions again that waited for their shard; those whose time is up get an answer.
+void entry_core::retry_held(instant now)
+{
+    auto held = std::exchange(held_, {});
+    for (auto& request : held)
+    {
+        if (request.deadline <= now)
+        {
+            deliver(request.from, request.job.id, outcome::unknown, reason::not_ready,
+                    not_ready_retry);
+            continue;
+        }
+        const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now);
+        request.job.deadline_ms =
+            static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
+        submit(now, std::move(request.from), std::move(request.job));
+    }
+}
+
+bool entry_core::idle() const
+{
+    return dispatcher_->job_count() == 0 && waiters_.empty() && forwards_.empty() &&
+           held_.empty() && handed_over_.empty();
+}
+
+std::string entry_core::describe(const std::string& id) const
+{
+    if (auto here = dispatcher_->describe(id); !here.empty())
+        return "in progress at " + options_.self.name + ": " + here;
+    if (const auto* known = registry_.find(id))
+        return known->where == registry_entry::state::finished
+                   ? "finished: " + std::string(to_string(known->reply.outcome)) + " (" +
+                         std::string(to_string(known->reply.reason)) + ")"
+                   : "known from records";
+    const auto minter = minter_of(id);
+    return "not here; owner: " + (minter.empty() ? ownership_.owner(shard_of(id)) : minter);
+}
+
+std::vector<entry_effect> entry_core::take_effects()
+{
+    return std::exchange(effects_, {});
+}
+
+} // namespace tarragonlock
--- /dev/null
+++ b/src/process/entry_core_workers.cpp
@@ -0,0 +1,92 @@
+// The part of the entry core about workers and their agents.
+
+#include "tarragonlock/process/entry_core.hpp"
+
+namespace tarragonlock
+{
+
+void entry_core::on_peer_connected(instant now, const std::string& peer)
+{
+    now_ = now;
+    for (auto& [request, pending] : forwards_)
+        pending.lost = pending.lost || pending.target == peer;
+}
+
+void entry_core::on_peer_lost(instant now, const std::string& peer)
+{
+    now_ = now;
+    directory_.on_lost(now, peer);
+    for (auto& [request, pending] : forwards_)
+        pending.lost = pending.lost || pending.target == peer;
+}
+
+void entry_core::handle(instant now, const std::string& from, const announce& notice)
+{
+    const auto [worker, restarted] = directory_.on_announce(now, from, notice);
+    dispatcher_->on_worker_back(now, worker, restarted);
+    for (auto& round : recoveries_)
+        round.on_worker_connected(directory_.at(worker).id);
+    run_recoveries(now);
+    tell_status(from);
+}
+
+void entry_core::tell_status(const std::string& worker)
+{
+    const auto index = directory_.find(worker);
+    const auto through = index ? directory_.at(*index).results_through : 0;
+    send(worker, entry_status{config_version_, through, leaving_});
+}
+
+void entry_core::handle(instant now, const std::string& from, const task_results& results)
+{
+    const auto worker = directory_.on_load(now, from, results.load);
+    if (!worker || results.sequence <= directory_.at(*worker).results_through)
+    {
+        ++counters_.messages_wasted;
+        return;
+    }
+    directory_.at(*worker).results_through = results.sequence;
+    note_outcomes(now, from, results.outcomes);
+    dispatcher_->on_results(now, *worker, results.outcomes);
+}
+
+void entry_core::note_outcomes(instant now, const std::string& worker,
+                               const std::vector<task_outcome>& outcomes)
+{
+    for (const auto& outcome : outcomes)
+        registry_.add_outcome(now, worker, outcome);
+}
+
+void entry_core::handle(instant now, const std::string& from, const load_report& report)
+{
+    const auto worker = directory_.on_load(now, from, report.load);
+    if (!worker)
+    {
+        ++counters_.messages_wasted;
+        return;
+    }
+    // An offer that nothing waits for ends the agent's belief that tasks wait here.
+    const bool was_told = std::exchange(directory_.at(*worker).told_backlog, false);
+    if (was_told && dispatcher_->waiting_tasks() == 0)
+        ++counters_.messages_wasted;
+    if (!was_told)
+        tell_status(from);
+}
+
+void entry_core::handle(instant now, const std::string& from, const query_reply& reply)
+{
+    const auto worker = directory_.on_load(now, from, reply.load);
+    if (!worker)
+        return;
+    note_outcomes(now, from, reply.outcomes);
+    dispatcher_->on_results(now, *worker, reply.outcomes);
+}
+
+void entry_core::handle(instant now, const std::string& from, const fence_reply& reply)
+{
+    for (auto& round : recoveries_)
+        round.on_fence_reply(from, reply);
+    run_recoveries(now);
+}
+
+} // namespace tarragonlock
--- a/src/process/entry_daemon.cpp
+++ b/src/process/entry_daemon.cpp
@@ -1,10 +1,10 @@
 #include "tarragonlock/process/entry_daemon.hpp"
 
 #include "process/entry_status.hpp"
+#include "process/store_feed.hpp"
 #include "tarragonlock/common/log.hpp"
 #include "tarragonlock/common/mailbox.hpp"
 #include "tarragonlock/connection/caller_server.hpp"
-#include "tarragonlock/connection/codec.hpp"
 #include "tarragonlock/connection/link.hpp"
 #include "tarragonlock/process/entry_core.hpp"
 #include "tarragonlock/process/service_levels.hpp"
@@ -13,7 +13,6 @@
 
 #include <future>
 #include <random>
-#include <set>
 
 namespace tarragonlock
 {
@@ -26,11 +25,6 @@
 constexpr auto balancer_notice = std::chrono::seconds(2);
 constexpr auto longest_shutdown = std::chrono::seconds(60);
 
-const std::string store_prefix = "tarragonlock/";
-const std::string table_key = store_prefix + "table";
-const std::string config_key = store_prefix + "config";
-const std::string entries_prefix = store_prefix + "entries/";
-
 /// A caller's request with the place for its answer.
 struct caller_call
 {
@@ -102,7 +96,8 @@
         store_settings.addresses = settings_.store_addresses;
         store_ = std::make_unique<store_client>(store_settings, [this](store_event event)
                                                 { events_.post(entry_event(std::move(event))); });
-        store_->keep_registered(entries_prefix + settings_.name, std::to_string(self_.incarnation));
+        feed_ = std::make_unique<store_feed>(*core_, *store_, settings_.entries);
+        feed_->register_self(self_);
         auto server = caller_server::open(
             {settings_.listen_http, settings_.http_threads, settings_.max_body_bytes}, backend());
         if (!server)
@@ -171,6 +166,7 @@
             step();
         closer.join();
         store_->unregister();
+        feed_.reset();
         store_.reset();
         log_event(log_level::info, "stopped");
     }
@@ -191,79 +187,7 @@
         }
     }
 
-    void handle(store_event event)
-    {
-        const auto now = process_clock::now();
-        if (auto* snapshot = std::get_if<store_snapshot>(&event))
-            take_snapshot(now, *snapshot);
-        else if (const auto* change = std::get_if<store_change>(&event))
-            take_change(now, *change);
-        else if (const auto* swapped = std::get_if<swap_result>(&event))
-            take_swap(now, *swapped);
-    }
-
-    void take_snapshot(instant now, const store_snapshot& snapshot)
-    {
-        std::set<std::string> present;
-        for (const auto& item : snapshot.items)
-        {
-            present.insert(item.key);
-            take_change(now, {item.key, item});
-        }
-        for (const auto& entry : settings_.entries)
-        {
-            if (!present.contains(entries_prefix + entry.name))
-                core_->on_store_entry(entry.name, std::nullopt);
-        }
-        core_->on_store_read(now);
-    }
-
-    void take_change(instant now, const store_change& change)
-    {
-        if (change.key.starts_with(entries_prefix))
-        {
-            std::optional<std::uint64_t> incarnation;
-            if (change.item)
-                incarnation = std::strtoull(change.item->value.c_str(), nullptr, 10);
-            core_->on_store_entry(change.key.substr(entries_prefix.size()), incarnation);
-        }
-        if (!change.item)
-            return;
-        if (change.key == table_key)
-            take_table(now, *change.item);
-        if (change.key == config_key)
-            take_config(now, *change.item);
-    }
-
-    void take_table(instant now, const store_item& item)
-    {
-        if (const auto table = decode_table(item.value))
-            core_->on_store_table(now, table.value(), item.revision);
-        else
-            log_event(log_level::error, "table_unreadable", {{"error", table.error().message()}});
-    }
-
-    /// The revision is the version: it only grows, and every change of the key has its own.
-    void take_config(instant now, const store_item& item)
-    {
-        const auto version = static_cast<std::uint64_t>(item.revision);
-        if (version <= core_->config_version())
-            return;
-        const bool in_force = core_->on_config(now, version, item.value);
-        log_event(in_force ? log_level::info : log_level::error,
-                  in_force ? "config_in_force" : "config_rejected", {{"version", item.revision}});
-    }
-
-    void take_swap(instant now, const swap_result& outcome)
-    {
-        if (outcome.request != swap_request_)
-            return;
-        if (outcome.in_doubt)
-            return core_->on_swap_unknown(now);
-        if (outcome.current)
-            take_table(now, *outcome.current);
-        core_->on_swap_done(now, outcome.swapped, swap_, outcome.revision);
-    }
+    void handle(store_event event) { feed_->handle(process_clock::now(), event); }
 
     void handle(caller_call call)
     {
@@ -304,14 +228,7 @@
 
     void apply(reply_to_caller outgoing) { reply(outgoing.caller, std::move(outgoing.reply)); }
 
-    void apply(swap_table wanted)
-    {
-        swap_ = wanted;
-        log_event(log_level::info, "table_proposed",
-                  {{"version", static_cast<std::int64_t>(wanted.table.version)}});
-        store_->swap(++swap_request_, table_key, wanted.expected_revision,
-                     encode_table(wanted.table));
-    }
+    void apply(const swap_table& wanted) { feed_->propose(wanted); }
 
     void reply(caller_token token, std::optional<answer> answered)
     {
@@ -407,12 +324,11 @@
     mailbox<entry_event> events_;
     std::unique_ptr<link> link_;
     std::unique_ptr<store_client> store_;
+    std::unique_ptr<store_feed> feed_;
     std::unique_ptr<caller_server> server_;
     std::map<caller_token, waiting_caller> waiting_;
     service_levels levels_;
     caller_token next_caller_ = 0;
-    std::uint64_t swap_request_ = 0;
-    swap_table swap_;
     instant last_tick_;
     std::atomic<bool> ready_{false};
 };
--- a/src/request/dispatcher_placement.cpp
+++ b/src/request/dispatcher_placement.cpp
@@ -62,8 +62,12 @@
     const auto index = state.order.back();
     const double expected = expected_ms(state, index);
     const auto runs_for = std::chrono::duration<double, std::milli>(state.runs_until - now);
-    const placement_request request{next.pool, expected, queue_.waiting(next.pool),
-                                    runs_for.count(), state.job.idempotent};
+    const placement_request request{next.pool,
+                                    expected,
+                                    queue_.waiting(next.pool),
+                                    static_cast<std::uint32_t>(state.order.size()),
+                                    runs_for.count(),
+                                    state.job.idempotent};
     const auto worker = placement_->choose(directory_, request);
     if (!worker)
         return false;
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -37,6 +37,18 @@
     }
 };
 
+class job_tail : public earliest_finish
+{
+public:
+    std::optional<worker_index> choose(const worker_directory& directory,
+                                       const placement_request& request) override
+    {
+        auto own = request;
+        own.waiting = request.job_waiting;
+        return earliest_finish::choose(directory, own);
+    }
+};
+
 bool reachable(const worker_view& worker)
 {
     return worker.connected && !worker.leaving;
@@ -108,6 +120,8 @@
     std::unique_ptr<placement_strategy> strategy;
     if (name == "earliest_finish")
         strategy = std::make_unique<earliest_finish>();
+    else if (name == "job_tail")
+        strategy = std::make_unique<job_tail>();
     else if (name == "random")
         strategy = std::make_unique<random_choice>();
     else if (name == "round_robin")
--- /dev/null
+++ b/src/version/ownership_changes.cpp
@@ -0,0 +1,170 @@
+// How an entry changes the table of shards: the first one, takeovers, planned transfers.
+
+#include "tarragonlock/version/ownership.hpp"
+
+namespace tarragonlock
+{
+
+void ownership::on_store_entry(const std::string& name, std::optional<std::uint64_t> incarnation)
+{
+    if (incarnation)
+        registered_[name] = *incarnation;
+    else
+        registered_.erase(name);
+}
+
+void ownership::on_store_read(instant)
+{
+    store_read_ = true;
+    if (!store_revision_)
+        store_revision_ = 0;
+}
+
+/// An owner is dead when its lease in the key-value service is gone and nobody hears it here.
+bool ownership::is_dead(instant now, const shard_owner& owner) const
+{
+    if (is_mine(owner))
+        return false;
+    const auto registered = registered_.find(owner.name);
+    if (registered != registered_.end() && registered->second == owner.incarnation)
+        return false;
+    const auto found = peers_.find(owner.name);
+    if (found == peers_.end() || !found->second.heard ||
+        found->second.incarnation != owner.incarnation)
+        return true;
+    return now - *found->second.heard > options_.lease + options_.lease_margin;
+}
+
+std::vector<std::string> ownership::live_entries(instant now) const
+{
+    std::vector<std::string> live;
+    for (const auto& name : options_.entries)
+    {
+        if (name == options_.self.name ? !leaving_ : is_heard(now, name) && !is_leaving(name))
+            live.push_back(name);
+    }
+    return live;
+}
+
+void ownership::on_tick(instant now)
+{
+    if (now - last_beat_ >= options_.beat_interval)
+        send_beats(now);
+    const bool settled = now - started_ >= options_.first_table_wait;
+    if (!store_read_ || swap_pending_ || !settled)
+        return;
+    if (table_.owners.empty())
+        return create_first_table(now);
+    take_over_dead(now);
+    if (!swap_pending_)
+        move_shards(now);
+}
+
+void ownership::propose(shard_table table)
+{
+    table.version = table_.version + 1;
+    proposal_ = table;
+    swap_ = swap_table{store_revision_.value_or(0), std::move(table)};
+    swap_pending_ = true;
+}
+
+void ownership::on_swap_done(instant now, bool swapped, const swap_table& request,
+                             std::int64_t revision)
+{
+    if (swapped)
+    {
+        store_revision_ = std::max(store_revision_.value_or(0), revision);
+        adopt(now, request.table);
+    }
+    on_swap_unknown();
+}
+
+/// Serving goes on: should the swap take effect later, the new owner waits until the leases under
+/// the older table are over, or for this entry's records.
+void ownership::on_swap_unknown()
+{
+    swap_pending_ = false;
+    for (auto& state : states_)
+    {
+        if (state == shard_state::moving)
+            state = shard_state::active;
+    }
+}
+
+void ownership::create_first_table(instant now)
+{
+    const auto live = live_entries(now);
+    if (live.empty() || live.front() != options_.self.name)
+        return;
+    shard_table table;
+    const auto wall = std::chrono::duration_cast<unix_milliseconds>(now.time_since_epoch()) +
+                      options_.wall_offset;
+    table.created_ms = wall.count();
+    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    {
+        const auto& name = live[rendezvous_owner(shard, live)];
+        const auto incarnation =
+            name == options_.self.name ? options_.self.incarnation : peers_.at(name).incarnation;
+        table.owners.push_back({name, incarnation, 1});
+    }
+    propose(std::move(table));
+}
+
+void ownership::take_over_dead(instant now)
+{
+    const auto live = live_entries(now);
+    // One entry acts for all, so that they don't race; the others follow when it doesn't.
+    if (live.empty() || live.front() != options_.self.name)
+        return;
+    auto table = table_;
+    bool changed = false;
+    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    {
+        auto& owner = table.owners[shard];
+        if (!is_dead(now, owner))
+            continue;
+        const auto& name = live[rendezvous_owner(shard, live)];
+        owner = {name,
+                 name == options_.self.name ? options_.self.incarnation
+                                            : peers_.at(name).incarnation,
+                 owner.epoch + 1};
+        changed = true;
+    }
+    if (changed)
+        propose(std::move(table));
+}
+
+/// Gives shards to the entries that rendezvous hashing names, or all of them when leaving.
+void ownership::move_shards(instant now)
+{
+    const auto live = live_entries(now);
+    if (live.empty() || !holds_lease(now))
+        return;
+    auto table = table_;
+    bool changed = false;
+    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    {
+        auto& owner = table.owners[shard];
+        if (states_.at(shard) != shard_state::active)
+            continue;
+        const auto& name = live[rendezvous_owner(shard, live)];
+        const auto registered = registered_.find(name);
+        const bool known = registered != registered_.end() && name != options_.self.name &&
+                           registered->second == peers_.at(name).incarnation;
+        if (!known)
+            continue;
+        owner = {name, registered->second, owner.epoch + 1};
+        states_.at(shard) = shard_state::moving;
+        changed = true;
+    }
+    if (changed)
+        propose(std::move(table));
+}
+
+void ownership::leave(instant now)
+{
+    leaving_ = true;
+    send_beats(now);
+}
+
+} // namespace tarragonlock
--- a/src/version/store_client.cpp
+++ b/src/version/store_client.cpp
@@ -172,8 +172,8 @@
     std::thread worker_;
 };
 
-store_client::store_client(store_options options, sink on_event)
-    : impl_(std::make_unique<implementation>(std::move(options), std::move(on_event)))
+store_client::store_client(const store_options& options, sink on_event)
+    : impl_(std::make_unique<implementation>(options, std::move(on_event)))
 {
 }
 
--- a/tests/fakes/scenario.cpp
+++ b/tests/fakes/scenario.cpp
@@ -122,18 +122,25 @@
         callers_[node["as"].as<std::string>(name)] = caller;
     }
 
+    /// The outcome and, unless it is complete, the reason.
+    std::string outcome_of(std::uint64_t caller) const
+    {
+        const auto* reply = fleet_.reply_to(caller);
+        if (reply == nullptr)
+            return "nothing";
+        std::string text(to_string(reply->outcome));
+        if (reply->outcome != outcome::complete)
+            text.append(" ").append(to_string(reply->reason));
+        return text;
+    }
+
     void expect(const YAML::Node& node)
     {
         for (const auto& item : node)
         {
             const auto name = item.first.as<std::string>();
             const auto wanted = item.second.as<std::string>();
-            const auto* reply = fleet_.reply_to(callers_.at(name));
-            const auto got = reply == nullptr ? std::string("nothing")
-                             : reply->outcome == outcome::complete
-                                 ? std::string("complete")
-                                 : std::string(to_string(reply->outcome)) + " " +
-                                       std::string(to_string(reply->reason));
+            const auto got = outcome_of(callers_.at(name));
             if (wanted != got && !got.starts_with(wanted + " "))
                 faults_.push_back(name + ": expected " + wanted + ", got " + got);
         }
--- a/tests/fakes/virtual_fleet.hpp
+++ b/tests/fakes/virtual_fleet.hpp
@@ -134,9 +134,9 @@
     void start(const std::string& name);
     void tick(const std::string& name, std::uint64_t incarnation);
     void carry_out(const std::string& name);
-    void deliver(const std::string& from, const std::string& to, message body);
+    void deliver(const std::string& from, const std::string& to, const message& body);
     void receive(const std::string& name, const std::string& from, const message& body);
-    void run_backend(const std::string& name, run_task task);
+    void run_backend(const std::string& name, const run_task& task);
     void maintain_connections();
     void close(const pair_key& key);
     void lose_peer(const std::string& name, const std::string& peer);
--- a/tests/request/policy_test.cpp
+++ b/tests/request/policy_test.cpp
@@ -127,8 +127,8 @@
     busy.free_slots = 0;
     directory.on_load(instant(), "w0", busy);
     const auto placement = make_placement("earliest_finish").value();
-    BOOST_TEST(!placement->choose(directory, {0, 100.0, 1, 0.0, false}));
-    BOOST_TEST((placement->choose(directory, {0, 100.0, 100, 0.0, false}) == worker_index(1)));
+    BOOST_TEST(!placement->choose(directory, {0, 100.0, 1, 1, 0.0, false}));
+    BOOST_TEST((placement->choose(directory, {0, 100.0, 100, 100, 0.0, false}) == worker_index(1)));
     BOOST_TEST(!make_placement("best"));
 }
 
