--- a/Makefile
+++ b/Makefile
@@ -18,10 +18,10 @@
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
 format:
-	clang-format -i $(SOURCES)
+	@clang-format -i $(SOURCES)
 
 format-check:
-	clang-format --dry-run --Werror $(SOURCES)
+	@clang-format --dry-run --Werror $(SOURCES)
 
 lint:
 	tools/lint $(BUILD)
--- a/src/process/entry_daemon.cpp
+++ b/src/process/entry_daemon.cpp
@@ -187,7 +187,7 @@
         }
     }
 
-    void handle(store_event event) { feed_->handle(process_clock::now(), event); }
+    void handle(const store_event& event) { feed_->handle(process_clock::now(), event); }
 
     void handle(caller_call call)
     {
--- a/tests/fakes/scenario.cpp
+++ b/tests/fakes/scenario.cpp
@@ -1,5 +1,6 @@
 #include "fakes/scenario.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
@@ -142,7 +143,7 @@
             const auto wanted = item.second.as<std::string>();
             const auto got = outcome_of(callers_.at(name));
             if (wanted != got && !got.starts_with(wanted + " "))
-                faults_.push_back(name + ": expected " + wanted + ", got " + got);
+                faults_.push_back(absl::StrCat(name, ": expected ", wanted, ", got ", got));
         }
     }
 
--- /dev/null
+++ b/tests/process/settings_page_test.py
@@ -0,0 +1,43 @@
+#!/usr/bin/env python3
+"""Holds docs/SETTINGS.md against the keys that the code reads."""
+import pathlib
+import re
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+def keys_in_code():
+    text = (ROOT / "src" / "process" / "settings.cpp").read_text(encoding="utf-8")
+    parts = re.split(r"result<(\w+)_settings> \w+::parse", text)[1:]
+    found = {}
+    for role, body in zip(parts[::2], parts[1::2]):
+        keys = re.search(r"allow_only\(\{(.*?)\}\)", body, re.DOTALL).group(1)
+        found[role] = set(re.findall(r'"(\w+)"', keys)) - {"log"}
+    return found
+
+
+def keys_in_page():
+    text = (ROOT / "docs" / "SETTINGS.md").read_text(encoding="utf-8")
+    found = {}
+    for role, body in re.findall(r"## (\w+)\n(.*?)(?=\n## |\Z)", text, re.DOTALL):
+        cells = [line.split("|")[1] for line in body.splitlines() if line.startswith("| `")]
+        found[role.lower()] = {key for cell in cells for key in re.findall(r"`([\w.*]+)`", cell)
+                               if not key.startswith("log.")}
+    return found
+
+
+def main():
+    code, page = keys_in_code(), keys_in_page()
+    for role in code:
+        difference = code[role] ^ page.get(role, set())
+        if difference:
+            print(f"{role}: {sorted(difference)} stand in only one of code and page")
+            sys.exit(1)
+    if not code or any(len(keys) < 5 for keys in code.values()):
+        sys.exit("the keys in the code were not found")
+    print("docs/SETTINGS.md lists the keys that the code reads")
+
+
+if __name__ == "__main__":
+    main()
