--- a/src/process/agent_core.cpp
+++ b/src/process/agent_core.cpp
@@ -13,9 +13,9 @@
     return job + '/' + std::to_string(index);
 }
 
-task_outcome not_started(const start_tasks& batch, const task_start& task)
+task_outcome not_started(const task_attempt& attempt)
 {
-    return {batch.job, task.index, task.attempt, task_status::not_started, 0, ""};
+    return {attempt.job, attempt.index, attempt.attempt, task_status::not_started, 0, ""};
 }
 
 } // namespace
@@ -99,7 +99,7 @@
         case start_verdict::fresh:
             break;
         case start_verdict::barred:
-            report(now, entry, not_started(batch, task));
+            report(now, entry, not_started({batch.job, task.index, task.attempt}));
             continue;
         case start_verdict::duplicate:
             ++counters_.starts_refused_known;
@@ -184,12 +184,7 @@
     const auto removed = std::stable_partition(queue.begin(), queue.end(), std::not_fn(cancelled));
     for (auto task = removed; task != queue.end(); ++task)
     {
-        const task_outcome outcome{task->attempt.job,
-                                   task->attempt.index,
-                                   task->attempt.attempt,
-                                   task_status::not_started,
-                                   0,
-                                   ""};
+        const auto outcome = not_started(task->attempt);
         records_.finish(now, outcome);
         report(now, entry, outcome);
         --queued_;
@@ -285,12 +280,7 @@
         options_.mechanisms.refuse_fenced_epochs && fenced(task.shard, task.epoch);
     if (expired || overtaken)
     {
-        const task_outcome outcome{task.attempt.job,
-                                   task.attempt.index,
-                                   task.attempt.attempt,
-                                   task_status::not_started,
-                                   0,
-                                   ""};
+        const auto outcome = not_started(task.attempt);
         records_.finish(now, outcome);
         const auto recorded = records_.owner(task.attempt.job);
         report(now, recorded.empty() ? owner : recorded, outcome);
@@ -334,7 +324,7 @@
     report(now, owner, std::move(outcome));
     offer_slots(now);
     flush(now, owner, false);
-    if (consecutive_failures_ == options_.failures_to_tell)
+    if (!succeeded && consecutive_failures_ == options_.failures_to_tell)
         tell_load(now);
 }
 
--- a/src/process/entry_core_membership.cpp
+++ b/src/process/entry_core_membership.cpp
@@ -232,12 +232,7 @@
         const auto epoch = ownership_.epoch(shard);
         const bool begun =
             std::any_of(recoveries_.begin(), recoveries_.end(),
-                        [&](const recovery& round)
-                        {
-                            const auto& covered = round.shards();
-                            return std::find(covered.begin(), covered.end(),
-                                             shard_epoch{shard, epoch}) != covered.end();
-                        });
+                        [&](const recovery& round) { return round.epoch_of(shard) == epoch; });
         if (!begun)
             shards.push_back({shard, epoch});
     }
