tests: the explorer finds the removal of every mechanism

Cause: of eight mechanisms the explorer found four; vote and lease took a rare meeting of faults, grant expiry broke no rule that the history checker knew, and a worker that only the dead owner had heard of never came up in the right cut.

Change: three schedules of faults that belong together (an owner cut off that goes on while its successor takes over, a worker that nobody knows started within reach of one entry only, starts held back for longer than a grant), and one more rule: no start later than two deadlines and a grant's lifetime after the last submission. The driver's class moves to its own header, so that the schedules have a file.

--- /dev/null
+++ b/tests/fakes/exploration_run.hpp
@@ -0,0 +1,353 @@
+#pragma once
+
+#include "fakes/exploration.hpp"
+
+#include <algorithm>
+
+namespace tarragonlock::test
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr std::uint32_t entry_count = 3;
+inline constexpr std::uint32_t agent_count = 3;
+inline constexpr int steps = 60;
+inline constexpr auto settle_time = seconds(90);
+inline constexpr auto declarations_text = "services: [{name: clearing}]\n# revision ";
+
+/// One run: a fleet, what callers know, and a random source of its own.
+class exploration_run
+{
+public:
+    exploration_run(std::uint64_t seed, const mechanisms& enabled)
+        : random_(seed * 7919 + 1), fleet_(seed, entry_count, agent_count, enabled)
+    {
+        fleet_.apply(declarations_text);
+        // A worker that nobody knows yet may come up in the middle of a cut.
+        if (chance(70))
+        {
+            late_worker_ = "worker-2";
+            fleet_.crash(*late_worker_);
+        }
+        fleet_.run_for(seconds(3));
+    }
+
+    exploration_result go()
+    {
+        for (int step = 0; step < steps; ++step)
+        {
+            act();
+            fleet_.run_for(milliseconds(pick(20, 600)));
+        }
+        recover();
+        for (const auto& [caller, entry_died] : callers_)
+        {
+            if (fleet_.reply_to(caller) == nullptr && !entry_died)
+                result_.violations.push_back("no answer to caller " + std::to_string(caller));
+        }
+        trace_history();
+        auto found = check_history(fleet_.events());
+        result_.violations.insert(result_.violations.end(), found.begin(), found.end());
+        return std::move(result_);
+    }
+
+private:
+    using step_function = void (exploration_run::*)();
+    struct weighted_step
+    {
+        std::uint32_t weight;
+        step_function act;
+    };
+
+    std::uint32_t pick(std::uint32_t least, std::uint32_t most)
+    {
+        return std::uniform_int_distribution<std::uint32_t>(least, most)(random_);
+    }
+    bool chance(std::uint32_t percent) { return pick(1, 100) <= percent; }
+    std::string any(bool entry)
+    {
+        const auto names = fleet_.names(entry);
+        return names[pick(0, static_cast<std::uint32_t>(names.size()) - 1)];
+    }
+    std::string any() { return any(chance(60)); }
+    void note(const std::string& text) { note_at(fleet_.now(), text); }
+    void note_at(instant when, const std::string& text)
+    {
+        const auto at = std::chrono::duration_cast<milliseconds>(when.time_since_epoch());
+        result_.trace.push_back(std::to_string(at.count()) + " " + text);
+    }
+    /// Adds what was seen from outside; sorted by its first column the trace is in order of time.
+    void trace_history()
+    {
+        for (const auto& event : fleet_.events())
+        {
+            if (const auto* start = std::get_if<started>(&event))
+                note_at(start->at, "started " + start->attempt.job + "/" +
+                                       std::to_string(start->attempt.index) + " attempt " +
+                                       std::to_string(start->attempt.attempt) + " on " +
+                                       start->worker);
+            else if (const auto* reply = std::get_if<answered>(&event))
+                note_at(reply->at, "answered " + reply->reply.id + " " +
+                                       std::string(to_string(reply->reply.outcome)) + " " +
+                                       std::string(to_string(reply->reply.reason)));
+        }
+    }
+    void fault(const std::string& text)
+    {
+        ++result_.faults;
+        note(text);
+    }
+
+    void act()
+    {
+        static constexpr weighted_step table[] = {
+            {40, &exploration_run::submit},
+            {14, &exploration_run::resubmit},
+            {6, static_cast<step_function>(&exploration_run::crash)},
+            {8, &exploration_run::restart},
+            {5, &exploration_run::pause},
+            {8, &exploration_run::resume},
+            {8, &exploration_run::cut},
+            {3, &exploration_run::isolate},
+            {4, &exploration_run::heal},
+            {3, &exploration_run::store_fault},
+            {4, &exploration_run::cut_store},
+            {3, &exploration_run::hold},
+            {2, &exploration_run::fail},
+            {2, &exploration_run::reconfigure},
+            {3, &exploration_run::cancel},
+            {2, &exploration_run::drain_agent},
+            {3, &exploration_run::crash_while_held},
+            {2, &exploration_run::cut_owner_off},
+            {2, &exploration_run::start_worker_in_cut},
+            {1, &exploration_run::hold_for_long}};
+        std::uint32_t total = 0;
+        for (const auto& item : table)
+            total += item.weight;
+        auto at = pick(1, total);
+        for (const auto& item : table)
+        {
+            if (at <= item.weight)
+                return (this->*item.act)();
+            at -= item.weight;
+        }
+    }
+
+    void send(const submission& job) { send_to(any(true), job); }
+    void send_to(const std::string& entry, const submission& job)
+    {
+        if (!fleet_.is_up(entry))
+            return;
+        ++result_.submissions;
+        note("submit " + job.id + " to " + entry);
+        callers_[fleet_.submit(entry, job)] = false;
+        sent_to_[entry].push_back(callers_.rbegin()->first);
+    }
+
+    /// Callers' clocks are off by almost as much as is allowed.
+    std::string timed_id()
+    {
+        const auto skew = milliseconds(pick(0, 9800)) - milliseconds(4900);
+        return fleet_.timed_id(skew);
+    }
+
+    /// @param id  empty for a random one
+    submission new_job(std::string id = "")
+    {
+        submission job;
+        job.id = chance(60) ? timed_id() : "job-" + std::to_string(jobs_.size());
+        if (const auto entry = any(true); chance(15) && fleet_.is_up(entry))
+            job.id = fleet_.mint(entry);
+        if (!id.empty())
+            job.id = std::move(id);
+        job.service = "clearing";
+        job.team = "default";
+        job.deadline_ms = pick(2000, 30'000);
+        job.idempotent = chance(20);
+        for (std::uint32_t i = 0, count = pick(1, 4); i < count; ++i)
+            job.tasks.push_back({job.id + "/" + std::to_string(i), 0});
+        jobs_.push_back(job);
+        return job;
+    }
+
+    void submit()
+    {
+        const auto job = new_job();
+        send(job);
+        if (chance(20))
+            send(job);
+    }
+
+    void resubmit()
+    {
+        if (!jobs_.empty())
+            send(jobs_[pick(0, static_cast<std::uint32_t>(jobs_.size()) - 1)]);
+    }
+
+    void cancel()
+    {
+        if (const auto entry = any(true); !jobs_.empty() && fleet_.is_up(entry))
+            fleet_.cancel(entry, jobs_[pick(0, static_cast<std::uint32_t>(jobs_.size()) - 1)].id);
+    }
+
+    void crash() { crash(any()); }
+    void crash(const std::string& name)
+    {
+        if (!fleet_.is_up(name))
+            return;
+        fault("crash " + name);
+        fleet_.crash(name);
+        // Callers of a dead entry get no answer; they may resubmit.
+        for (const auto caller : sent_to_[name])
+            callers_[caller] = true;
+    }
+
+    void restart()
+    {
+        for (const auto entry : {true, false})
+        {
+            for (const auto& name : fleet_.names(entry))
+            {
+                if (fleet_.is_up(name) || name == late_worker_)
+                    continue;
+                note("restart " + name);
+                return fleet_.restart(name);
+            }
+        }
+    }
+
+    void pause()
+    {
+        const auto name = any();
+        fault("pause " + name);
+        if (fleet_.is_up(name))
+            fleet_.pause(name);
+    }
+
+    void resume()
+    {
+        const auto name = any();
+        note("resume " + name);
+        if (fleet_.is_up(name))
+            fleet_.resume(name);
+    }
+
+    void cut()
+    {
+        const auto from = any();
+        const auto to = any();
+        fault("cut " + from + " " + to);
+        if (chance(50))
+            fleet_.cut(from, to);
+        else
+            fleet_.cut_both(from, to);
+    }
+
+    /// An entry that loses the key-value service and the other entries, but not every agent.
+    void isolate()
+    {
+        const auto name = any(true);
+        const auto agent = any(false);
+        fault("isolate " + name + " with " + agent);
+        fleet_.cut_store(name);
+        for (const auto& other : fleet_.names(true))
+        {
+            if (other == name)
+                continue;
+            if (chance(80))
+                fleet_.cut_both(name, other);
+            fleet_.cut_both(other, agent);
+        }
+    }
+
+    void heal()
+    {
+        note("heal");
+        fleet_.heal();
+    }
+
+    void store_fault()
+    {
+        static constexpr store_mode modes[] = {store_mode::down, store_mode::lose, store_mode::slow,
+                                               store_mode::ok};
+        const auto mode = pick(0, 3);
+        fault("store mode " + std::to_string(mode));
+        fleet_.set_store(modes[mode]);
+    }
+
+    void cut_store()
+    {
+        const auto name = any(true);
+        fault("cut store from " + name);
+        fleet_.cut_store(name);
+    }
+
+    void hold()
+    {
+        const auto from = any(true);
+        const auto to = any(false);
+        fault("hold " + from + " " + to);
+        fleet_.hold(from, to);
+    }
+
+    // Schedules of several faults that belong together (exploration_schedules.cpp).
+    void crash_while_held();
+    void cut_owner_off();
+    void start_worker_in_cut();
+    void hold_for_long();
+    void heal_and_settle();
+    std::string owned_id(const std::string& owner);
+
+    void fail()
+    {
+        const auto name = any(false);
+        const auto mode = chance(50) ? backend_mode::fail : backend_mode::ok;
+        fault("backend of " + name + (mode == backend_mode::ok ? " works" : " fails"));
+        fleet_.set_backend(name, mode);
+    }
+
+    void reconfigure()
+    {
+        note("apply");
+        fleet_.apply(declarations_text + std::to_string(pick(0, 1'000'000)));
+    }
+
+    void drain_agent()
+    {
+        const auto name = any(false);
+        if (!fleet_.is_up(name))
+            return;
+        note("drain " + name);
+        fleet_.drain(name);
+    }
+
+    void recover()
+    {
+        note("recover");
+        fleet_.heal();
+        for (const auto entry : {true, false})
+        {
+            for (const auto& name : fleet_.names(entry))
+            {
+                if (fleet_.is_up(name))
+                    fleet_.resume(name);
+                else
+                    fleet_.restart(name);
+            }
+        }
+        fleet_.run_for(settle_time);
+    }
+
+    std::mt19937_64 random_;
+    virtual_fleet fleet_;
+    exploration_result result_;
+    std::vector<submission> jobs_;
+    /// A worker that has not come up yet.
+    std::optional<std::string> late_worker_;
+    /// Callers, and whether their entry died.
+    std::map<std::uint64_t, bool> callers_;
+    std::map<std::string, std::vector<std::uint64_t>> sent_to_;
+};
+
+} // namespace tarragonlock::test
--- /dev/null
+++ b/tests/fakes/exploration_schedules.cpp
@@ -0,0 +1,121 @@
+// Schedules of several faults that belong together; single random faults seldom meet like this.
+
+#include "fakes/exploration_run.hpp"
+
+namespace tarragonlock::test
+{
+
+/// An owner dies while starts of a job are on their way, and the job is submitted again.
+void exploration_run::crash_while_held()
+{
+    const auto owner = any(true);
+    for (const auto& agent : fleet_.names(false))
+        fleet_.hold(owner, agent);
+    const auto job = new_job();
+    send_to(owner, job);
+    fleet_.run_for(milliseconds(100));
+    crash(owner);
+    fleet_.run_for(seconds(7));
+    send(job);
+    fleet_.run_for(seconds(1));
+    fleet_.release();
+}
+
+/// An owner that is cut off, but goes on, and its successor get the same job. They share no agent:
+/// one hears the owner only, the others the successor only.
+void exploration_run::cut_owner_off()
+{
+    heal_and_settle();
+    const auto owner = any(true);
+    auto others = fleet_.names(true);
+    std::erase(others, owner);
+    // The first of the live entries takes over.
+    const auto &successor = others.front(), &third = others.back();
+    const auto agent = any(false);
+    fault("cut off " + owner + " with " + agent);
+    fleet_.cut_store(owner);
+    fleet_.cut_both(owner, successor);
+    for (const auto& other : fleet_.names(false))
+        fleet_.cut_both(other, other == agent ? successor : owner);
+    // With the third entry's acknowledgements the owner keeps its lease until the takeover.
+    const bool alone = chance(40);
+    if (alone)
+        fleet_.cut_both(owner, third);
+    fleet_.run_for(milliseconds(alone ? pick(8000, 16'000) : pick(4500, 5200)));
+    if (!alone)
+        fleet_.cut_both(owner, third);
+    fleet_.run_for(milliseconds(pick(500, 1800)));
+    // The successor takes the id for one made after its takeover.
+    const auto job = new_job(fleet_.timed_id(milliseconds(4900)));
+    send_to(owner, job);
+    send_to(successor, job);
+}
+
+/// A worker that nobody has heard of comes up where only one entry hears it, and that entry dies.
+void exploration_run::start_worker_in_cut()
+{
+    if (!late_worker_)
+        return;
+    heal_and_settle();
+    const auto owner = any(true);
+    const auto worker = *std::exchange(late_worker_, std::nullopt);
+    fault("start " + worker + " within reach of " + owner + " only");
+    for (const auto& other : fleet_.names(true))
+    {
+        if (other != owner)
+            fleet_.cut_both(other, worker);
+    }
+    for (const auto& other : fleet_.names(false))
+    {
+        if (other != worker)
+            fleet_.cut_both(owner, other);
+    }
+    fleet_.restart(worker);
+    fleet_.run_for(seconds(2));
+    const auto job = new_job(owned_id(owner));
+    send_to(owner, job);
+    fleet_.run_for(milliseconds(pick(200, 800)));
+    crash(owner);
+    fleet_.run_for(seconds(8));
+    send(job);
+}
+
+/// Starts arrive when their job was answered long ago.
+void exploration_run::hold_for_long()
+{
+    heal_and_settle();
+    const auto owner = any(true);
+    fault("hold starts of " + owner);
+    for (const auto& agent : fleet_.names(false))
+        fleet_.hold(owner, agent);
+    const auto job = new_job();
+    send_to(owner, job);
+    fleet_.run_for(agent_options{}.grant_lifetime + 2 * milliseconds(job.deadline_ms) + seconds(2));
+    fleet_.release();
+}
+
+/// @return an identifier of an entry's own shards, or of any when it has none.
+std::string exploration_run::owned_id(const std::string& owner)
+{
+    constexpr int tries = 50;
+    auto id = timed_id();
+    for (int i = 0; i < tries && fleet_.entry(owner).shards().owner(shard_of(id)) != owner; ++i)
+        id = timed_id();
+    return id;
+}
+
+/// Lets everyone come back, so that the next faults meet a working fleet.
+void exploration_run::heal_and_settle()
+{
+    heal();
+    for (const auto& name : fleet_.names(true))
+    {
+        if (fleet_.is_up(name))
+            fleet_.resume(name);
+        else
+            fleet_.restart(name);
+    }
+    fleet_.run_for(seconds(4));
+}
+
+} // namespace tarragonlock::test
--- a/tests/fakes/history.cpp
+++ b/tests/fakes/history.cpp
@@ -6,6 +6,9 @@
 namespace
 {
 
+/// Age at which agents refuse a start, by their own clocks.
+constexpr auto grant_lifetime = std::chrono::seconds(20);
+
 /// What has been seen of one job so far.
 struct job_view
 {
@@ -16,6 +19,8 @@
     bool may_start = false;
     std::uint32_t submissions = 0;
     std::uint32_t refusals = 0;
+    /// A start travels for a grant's lifetime at most and waits at the agent for a deadline.
+    instant latest_start;
 };
 
 class checker
@@ -27,6 +32,8 @@
         job.idempotent = event.job.idempotent;
         ++job.submissions;
         job.open_callers.insert(event.caller);
+        const std::chrono::milliseconds deadline(event.job.deadline_ms);
+        job.latest_start = std::max(job.latest_start, event.at + 2 * deadline + grant_lifetime);
         callers_[event.caller] = {event.job, !job.starts.empty()};
     }
 
@@ -39,6 +46,8 @@
                   std::to_string(event.attempt.index) + " on " + event.worker);
         if (job.refusals == job.submissions)
             fault("started though every submission was refused: " + event.attempt.job);
+        if (event.at > job.latest_start)
+            fault("started late: " + event.attempt.job);
         auto& version = worker_versions_[event.worker];
         if (event.config_version < version)
             fault("configuration reverted on " + event.worker);
--- a/tests/fakes/history.hpp
+++ b/tests/fakes/history.hpp
@@ -14,6 +14,7 @@
 {
     std::uint64_t caller = 0;
     submission job;
+    instant at;
 };
 
 struct started
