request: jobs go by when each could be over; a slow worker must help the job itself

Cause: at 70% load a job of one task waited behind 180 tasks that had come a moment before it, and a slow worker took a job's last tasks as long as other jobs waited in the pool, which ends the pool's work early, not the job's.

Letting later jobs fill slots that the first declines changed nothing.

Change: the queue orders jobs as urgent as each other by that moment; the rule compares with the job's own waiting work; job_tail, the half of this that was undecided, goes.

The rest of the gap is in what entries know of the workers' speeds.

--- a/include/tarragonlock/request/dispatcher.hpp
+++ b/include/tarragonlock/request/dispatcher.hpp
@@ -111,6 +111,8 @@
         task_state state = task_state::waiting;
         std::uint32_t attempt = 0;
         worker_index worker = 0;
+        /// Run time expected on a worker of slowness 1, in milliseconds.
+        double expected_ms = 0.0;
         std::string result;
     };
 
@@ -126,6 +128,10 @@
         std::vector<task> tasks;
         /// Indices of waiting tasks, the one to go next at the back.
         std::vector<std::uint32_t> order;
+        /// Sum of the waiting tasks' expected run times.
+        double waiting_ms = 0.0;
+        /// Place in the queue, see job_rank.
+        double due_ms = 0.0;
         std::uint32_t unfinished = 0;
         bool any_sent = false;
         bool parked = false;
@@ -143,12 +149,17 @@
 
     void enqueue(job_handle handle, std::uint32_t tasks);
     void route(job_state& state);
-    double expected_ms(const job_state& state, std::uint32_t index) const;
+    double expect_run_time(const std::string& service, std::uint32_t declared_ms) const;
+    double due(instant now, const job_state& state) const;
     void learn(const std::string& service, double run_ms);
+    placement_request request_for(instant now, const job_state& state) const;
+    /// @return the request of the task that goes next in each pool, where one waits.
+    std::vector<std::optional<placement_request>> next_requests(instant now) const;
     bool place_next(instant now, const fair_queue::choice& next,
                     std::map<batch_key, std::vector<std::uint32_t>>& batches);
-    void send_batches(const std::map<batch_key, std::vector<std::uint32_t>>& batches, instant now);
-    void tell_backlog();
+    void send_batches(const std::map<batch_key, std::vector<std::uint32_t>>& batches,
+                      const std::vector<std::optional<placement_request>>& next, instant now);
+    void tell_backlog(const std::vector<std::optional<placement_request>>& next);
     void apply(instant now, worker_index worker, const task_outcome& outcome);
     void retry(job_handle handle, std::uint32_t index);
     void lose_task(instant now, job_handle handle, std::uint32_t index);
--- a/include/tarragonlock/request/fair_queue.hpp
+++ b/include/tarragonlock/request/fair_queue.hpp
@@ -2,12 +2,12 @@
 
 #include "tarragonlock/connection/worker_directory.hpp"
 
+#include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -19,7 +19,16 @@
 /// Number of a job in progress at this entry.
 using job_handle = std::uint64_t;
 
-/// Waiting tasks, shared between teams by weight and, inside a team, ordered by urgency and age.
+/// A job's place among those of its team that are as urgent; the lowest goes first.
+struct job_rank
+{
+    /// Moment by which the job would be over if it had the pool for itself, in milliseconds.
+    double due_ms = 0.0;
+    job_handle job = 0;
+    friend auto operator<=>(const job_rank&, const job_rank&) = default;
+};
+
+/// Waiting tasks, shared between teams by weight and, inside a team, ordered by urgency and rank.
 ///
 /// Each team has a virtual time that grows with the slot time it uses over its weight, the
 /// start-time fair queueing of Goyal, Vin and Cheng (1996). The team with the least goes next, so
@@ -31,7 +40,7 @@
 
     /// Adds tasks of a job.
     void push(pool_index pool, const std::string& team, double weight, std::uint32_t urgency,
-              job_handle job, std::uint32_t tasks);
+              const job_rank& job, std::uint32_t tasks);
 
     struct choice
     {
@@ -44,6 +53,9 @@
     /// @return the job whose task goes next, or nothing
     std::optional<choice> next(const std::function<bool(pool_index)>& usable) const;
 
+    /// @return the job of one pool whose task goes next, or nothing when none waits
+    std::optional<job_handle> head(pool_index pool) const;
+
     /// Takes one task of the job that next returned for this pool.
     /// @param cost_ms  slot time the task is expected to use
     void pop(pool_index pool, double cost_ms);
@@ -52,7 +64,7 @@
     void charge(const std::string& team, double cost_ms);
 
     /// Removes a job's waiting tasks.
-    void remove(pool_index pool, const std::string& team, job_handle job);
+    void remove(pool_index pool, const std::string& team, const job_rank& job);
 
     std::uint32_t waiting(pool_index pool) const;
     std::uint32_t waiting_of_team(const std::string& team) const;
@@ -64,20 +76,16 @@
 private:
     using team_index = std::uint32_t;
 
-    struct waiting_job
-    {
-        job_handle job = 0;
-        std::uint32_t tasks = 0;
-    };
+    /// Number of waiting tasks by job.
+    using lane = absl::btree_map<job_rank, std::uint32_t>;
 
     struct team_lanes
     {
-        std::array<std::deque<waiting_job>, urgency_levels> lanes;
+        std::array<lane, urgency_levels> lanes;
         std::uint32_t waiting = 0;
         /// Key under which the team stands in the pool's order.
         double key = 0.0;
 
-        std::deque<waiting_job>* most_urgent();
         std::size_t top_urgency() const;
     };
 
--- a/include/tarragonlock/request/placement.hpp
+++ b/include/tarragonlock/request/placement.hpp
@@ -17,10 +17,8 @@
     pool_index pool = 0;
     /// Run time expected on a worker of slowness 1.
     double expected_ms = 0.0;
-    /// Tasks that wait in the pool, this one included.
-    std::uint32_t waiting = 1;
-    /// Waiting tasks of the job itself.
-    std::uint32_t job_waiting = 1;
+    /// Sum of that time over the job's waiting tasks, this one included.
+    double job_waiting_ms = 0.0;
     /// Time until the job's tasks that already run are expected to end.
     double job_runs_for_ms = 0.0;
     /// Whether the task may serve as a probe of an ejected worker.
@@ -36,6 +34,13 @@
     /// @return a worker, or nothing when the task is better left waiting.
     virtual std::optional<worker_index> choose(const worker_directory& directory,
                                                const placement_request& request) = 0;
+
+    /// @return whether the task would go to this worker if that had a free slot and no faster one
+    ///         had; its agent is asked for slots only then.
+    virtual bool wants(const worker_directory&, const placement_request&, worker_index) const
+    {
+        return true;
+    }
 };
 
 /// Makes a strategy by its name in the settings: "earliest_finish", or one of the baselines
--- a/src/process/entry_core_workers.cpp
+++ b/src/process/entry_core_workers.cpp
@@ -46,6 +46,9 @@
         return;
     }
     directory_.at(*worker).results_through = results.sequence;
+    // Free slots that this entry doesn't use end the agent's belief that tasks wait here.
+    if (results.load.free_slots > 0)
+        directory_.at(*worker).told_backlog = false;
     note_outcomes(now, from, results.outcomes);
     dispatcher_->on_results(now, *worker, results.outcomes);
 }
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -127,9 +127,14 @@
     }
     for (std::uint32_t i = 0; i < state.tasks.size(); ++i)
     {
-        if (state.tasks[i].state == task_state::waiting)
-            state.order.push_back(i);
+        auto& task = state.tasks[i];
+        task.expected_ms = expect_run_time(state.job.service, state.job.tasks[i].declared_ms);
+        if (task.state != task_state::waiting)
+            continue;
+        state.order.push_back(i);
+        state.waiting_ms += task.expected_ms;
     }
+    state.due_ms = due(now, state);
     // The longest go first, so that no long task starts when the others are over.
     std::stable_sort(state.order.begin(), state.order.end(),
                      [&](std::uint32_t a, std::uint32_t b)
@@ -150,8 +155,8 @@
         return;
     const auto& state = jobs_.at(handle);
     const auto* team = config_->find_team(state.job.team);
-    queue_.push(state.pool, state.job.team, team ? team->weight : 1.0, state.urgency, handle,
-                tasks);
+    queue_.push(state.pool, state.job.team, team ? team->weight : 1.0, state.urgency,
+                {state.due_ms, handle}, tasks);
 }
 
 void dispatcher::on_results(instant now, worker_index worker,
@@ -176,7 +181,7 @@
     auto& task = state.tasks[outcome.index];
     if (task.state != task_state::sent || task.attempt != outcome.attempt || task.worker != worker)
         return;
-    const double expected = expected_ms(state, outcome.index);
+    const double expected = task.expected_ms;
     directory_.on_ended(now, worker, outcome, expected);
     switch (outcome.status)
     {
@@ -216,6 +221,7 @@
     task.state = task_state::waiting;
     ++task.attempt;
     state.order.push_back(index);
+    state.waiting_ms += task.expected_ms;
     if (state.parked)
         return;
     enqueue(handle, 1);
@@ -328,7 +334,7 @@
 void dispatcher::finish(instant, job_handle handle, outcome what, reason why)
 {
     auto& state = jobs_.at(handle);
-    queue_.remove(state.pool, state.job.team, handle);
+    queue_.remove(state.pool, state.job.team, {state.due_ms, handle});
     answer reply{state.job.id, what, why, {}, 0};
     if (what == outcome::complete)
     {
--- a/src/request/dispatcher_placement.cpp
+++ b/src/request/dispatcher_placement.cpp
@@ -13,17 +13,34 @@
 
 /// Weight of a new run time in a service's mean.
 constexpr double estimate_gain = 0.02;
+/// Longest time for which later jobs may go ahead of one because they are shorter. Declared run
+/// times may be far off, so a job must not fall behind without end.
+constexpr double longest_delay_ms = 5000.0;
 
 } // namespace
 
-double dispatcher::expected_ms(const job_state& state, std::uint32_t index) const
+double dispatcher::expect_run_time(const std::string& service, std::uint32_t declared_ms) const
 {
-    const auto found = estimates_.find(state.job.service);
+    const auto found = estimates_.find(service);
     const double mean =
         found == estimates_.end() ? service_estimate{}.mean_ms : found->second.mean_ms;
-    const auto declared = state.job.tasks[index].declared_ms;
     // Declared times may be off by several times either way, so they count half.
-    return declared == 0 ? mean : std::sqrt(mean * declared);
+    return declared_ms == 0 ? mean : std::sqrt(mean * declared_ms);
+}
+
+/// Orders jobs by the moment at which each would be over if it had the pool for itself: a short job
+/// does not wait for a long one that came shortly before, and a long one is overtaken only by jobs
+/// that come while it could have been running.
+/// @return that moment in milliseconds of the process clock
+double dispatcher::due(instant now, const job_state& state) const
+{
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    const double admitted_ms = milliseconds(now.time_since_epoch()).count();
+    const auto& speeds = directory_.pool(state.pool).speeds;
+    if (speeds.empty())
+        return admitted_ms;
+    const double alone_ms = state.waiting_ms / speeds.back().cumulative_rate;
+    return admitted_ms + std::min(alone_ms, longest_delay_ms);
 }
 
 void dispatcher::learn(const std::string& service, double run_ms)
@@ -51,8 +68,27 @@
         if (!place_next(now, *next, batches))
             blocked[next->pool] = true;
     }
-    send_batches(batches, now);
-    tell_backlog();
+    const auto waiting = next_requests(now);
+    send_batches(batches, waiting, now);
+    tell_backlog(waiting);
+}
+
+placement_request dispatcher::request_for(instant now, const job_state& state) const
+{
+    const std::chrono::duration<double, std::milli> runs_for = state.runs_until - now;
+    return {state.pool, state.tasks[state.order.back()].expected_ms, state.waiting_ms,
+            runs_for.count(), state.job.idempotent};
+}
+
+std::vector<std::optional<placement_request>> dispatcher::next_requests(instant now) const
+{
+    std::vector<std::optional<placement_request>> requests(directory_.pool_count());
+    for (pool_index pool = 0; pool < requests.size(); ++pool)
+    {
+        if (const auto job = queue_.head(pool))
+            requests[pool] = request_for(now, jobs_.at(*job));
+    }
+    return requests;
 }
 
 bool dispatcher::place_next(instant now, const fair_queue::choice& next,
@@ -60,14 +96,7 @@
 {
     auto& state = jobs_.at(next.job);
     const auto index = state.order.back();
-    const double expected = expected_ms(state, index);
-    const auto runs_for = std::chrono::duration<double, std::milli>(state.runs_until - now);
-    const placement_request request{next.pool,
-                                    expected,
-                                    queue_.waiting(next.pool),
-                                    static_cast<std::uint32_t>(state.order.size()),
-                                    runs_for.count(),
-                                    state.job.idempotent};
+    const auto request = request_for(now, state);
     const auto worker = placement_->choose(directory_, request);
     if (!worker)
         return false;
@@ -75,12 +104,13 @@
     task.state = task_state::sent;
     task.worker = *worker;
     state.order.pop_back();
+    state.waiting_ms -= request.expected_ms;
     state.any_sent = true;
-    const double run_ms = expected * std::exp(directory_.at(*worker).log_slowness);
+    const double run_ms = request.expected_ms * std::exp(directory_.at(*worker).log_slowness);
     const auto ends = now + std::chrono::duration_cast<duration>(
                                 std::chrono::duration<double, std::milli>(run_ms));
     state.runs_until = std::max(state.runs_until, ends);
-    queue_.pop(next.pool, expected);
+    queue_.pop(next.pool, request.expected_ms);
     directory_.on_sent(*worker, 1);
     batches[{*worker, next.job}].push_back(index);
     ++counters_.tasks_sent;
@@ -88,6 +118,7 @@
 }
 
 void dispatcher::send_batches(const std::map<batch_key, std::vector<std::uint32_t>>& batches,
+                              const std::vector<std::optional<placement_request>>& next,
                               instant now)
 {
     for (const auto& [key, indices] : batches)
@@ -106,7 +137,9 @@
         const auto left =
             std::chrono::duration_cast<std::chrono::milliseconds>(state.deadline - now);
         batch.deadline_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
-        batch.backlog = queue_.waiting(state.pool);
+        const auto& waiting = next[state.pool];
+        if (waiting && placement_->wants(directory_, *waiting, key.first))
+            batch.backlog = queue_.waiting(state.pool);
         for (const auto index : indices)
             batch.tasks.push_back({index, state.tasks[index].attempt, state.job.tasks[index].body});
         worker.told_backlog = batch.backlog > 0;
@@ -115,20 +148,22 @@
 }
 
 /// Tells some workers without free slots that tasks wait, so that they offer slots others free.
-void dispatcher::tell_backlog()
+void dispatcher::tell_backlog(const std::vector<std::optional<placement_request>>& next)
 {
-    for (pool_index i = 0; i < directory_.pool_count(); ++i)
+    for (pool_index i = 0; i < next.size(); ++i)
     {
+        if (!next[i])
+            continue;
         const auto waiting = queue_.waiting(i);
         const auto& members = directory_.pool(i).members;
-        if (waiting == 0)
-            continue;
         std::uint32_t told = 0;
         for (std::size_t tried = 0; tried < members.size() && told < options_.backlog_notices;
              ++tried)
         {
-            auto& worker = directory_.at(members[notice_cursor_++ % members.size()]);
-            if (worker.told_backlog || !worker.connected || worker.leaving || worker.ejected)
+            const auto index = members[notice_cursor_++ % members.size()];
+            auto& worker = directory_.at(index);
+            if (worker.told_backlog || !worker.connected || worker.leaving || worker.ejected ||
+                !placement_->wants(directory_, *next[i], index))
                 continue;
             worker.told_backlog = true;
             ++told;
@@ -142,7 +177,7 @@
 void dispatcher::park(job_handle handle)
 {
     auto& state = jobs_.at(handle);
-    queue_.remove(state.pool, state.job.team, handle);
+    queue_.remove(state.pool, state.job.team, {state.due_ms, handle});
     state.parked = true;
 }
 
--- a/src/request/fair_queue.cpp
+++ b/src/request/fair_queue.cpp
@@ -5,13 +5,6 @@
 namespace tarragonlock
 {
 
-std::deque<fair_queue::waiting_job>* fair_queue::team_lanes::most_urgent()
-{
-    const auto lane =
-        std::find_if(lanes.rbegin(), lanes.rend(), [](const auto& jobs) { return !jobs.empty(); });
-    return lane == lanes.rend() ? nullptr : &*lane;
-}
-
 std::size_t fair_queue::team_lanes::top_urgency() const
 {
     for (std::size_t i = urgency_levels; i > 0; --i)
@@ -33,7 +26,7 @@
 }
 
 void fair_queue::push(pool_index pool, const std::string& team, double weight,
-                      std::uint32_t urgency, job_handle job, std::uint32_t tasks)
+                      std::uint32_t urgency, const job_rank& job, std::uint32_t tasks)
 {
     const auto index = account_for(team, weight);
     auto& account = accounts_[index];
@@ -48,7 +41,7 @@
         lanes.key = account.virtual_time;
         queue.order.insert({lanes.key, index});
     }
-    lanes.lanes.at(std::min<std::size_t>(urgency, urgency_levels - 1)).push_back({job, tasks});
+    lanes.lanes.at(std::min<std::size_t>(urgency, urgency_levels - 1))[job] += tasks;
     lanes.waiting += tasks;
     account.waiting += tasks;
     queue.waiting += tasks;
@@ -71,20 +64,29 @@
         const std::pair<double, int> rank{key, -static_cast<int>(urgency)};
         if (best && rank >= best_rank)
             continue;
-        best = choice{i, lanes.lanes.at(urgency).front().job};
+        best = choice{i, lanes.lanes.at(urgency).begin()->first.job};
         best_rank = rank;
     }
     return best;
 }
 
+std::optional<job_handle> fair_queue::head(pool_index pool) const
+{
+    const auto only = next([&](pool_index other) { return other == pool; });
+    if (!only)
+        return std::nullopt;
+    return only->job;
+}
+
 void fair_queue::pop(pool_index pool, double cost_ms)
 {
     auto& queue = pools_[pool];
     const auto team = queue.order.begin()->second;
-    auto* lane = queue.teams.at(team).most_urgent();
+    auto& lanes = queue.teams.at(team);
+    auto& jobs = lanes.lanes.at(lanes.top_urgency());
     virtual_now_ = std::max(virtual_now_, accounts_[team].virtual_time);
-    if (--lane->front().tasks == 0)
-        lane->pop_front();
+    if (--jobs.begin()->second == 0)
+        jobs.erase(jobs.begin());
     take(pool, team, 1);
     advance(team, cost_ms);
 }
@@ -122,7 +124,7 @@
     }
 }
 
-void fair_queue::remove(pool_index pool, const std::string& team, job_handle job)
+void fair_queue::remove(pool_index pool, const std::string& team, const job_rank& job)
 {
     const auto account = by_name_.find(team);
     if (account == by_name_.end() || pool >= pools_.size())
@@ -133,12 +135,11 @@
     std::uint32_t removed = 0;
     for (auto& lane : lanes->second.lanes)
     {
-        std::erase_if(lane,
-                      [&](const waiting_job& waiting)
-                      {
-                          removed += waiting.job == job ? waiting.tasks : 0;
-                          return waiting.job == job;
-                      });
+        const auto found = lane.find(job);
+        if (found == lane.end())
+            continue;
+        removed += found->second;
+        lane.erase(found);
     }
     if (removed > 0)
         take(pool, account->second, removed);
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-/// Takes the fastest free worker, unless waiting for a faster one ends the task earlier.
+/// Takes the fastest free worker, unless the job ends earlier when its task waits for a faster one.
 class earliest_finish : public placement_strategy
 {
 public:
@@ -23,29 +23,30 @@
         if (pool.free.empty())
             return std::nullopt;
         const auto& [log_slowness, worker] = *pool.free.begin();
-        const double rate = pool.rate_faster_than(log_slowness);
-        if (rate <= 0.0)
-            return worker;
-        // All waiting tasks, run by the faster workers only, end after
-        // expected * (waiting / rate + slowness of the fastest).
-        const double fastest = std::exp(pool.speeds.front().log_slowness);
-        const double by_faster = request.expected_ms * (request.waiting / rate + fastest);
-        const double here = request.expected_ms * std::exp(log_slowness);
-        if (here <= std::max(by_faster, request.job_runs_for_ms))
+        if (helps(pool, request, log_slowness))
             return worker;
         return std::nullopt;
     }
-};
 
-class job_tail : public earliest_finish
-{
-public:
-    std::optional<worker_index> choose(const worker_directory& directory,
-                                       const placement_request& request) override
+    bool wants(const worker_directory& directory, const placement_request& request,
+               worker_index worker) const override
+    {
+        return helps(directory.pool(request.pool), request, directory.at(worker).log_slowness);
+    }
+
+private:
+    static bool helps(const worker_pool& pool, const placement_request& request,
+                      double log_slowness)
     {
-        auto own = request;
-        own.waiting = request.job_waiting;
-        return earliest_finish::choose(directory, own);
+        const double rate = pool.rate_faster_than(log_slowness);
+        if (rate <= 0.0)
+            return true;
+        // The job's waiting tasks, run by the faster workers only, end after the time that those
+        // need for all of them and the time of this one on the fastest.
+        const double fastest = std::exp(pool.speeds.front().log_slowness);
+        const double by_faster = request.job_waiting_ms / rate + request.expected_ms * fastest;
+        const double here = request.expected_ms * std::exp(log_slowness);
+        return here <= std::max(by_faster, request.job_runs_for_ms);
     }
 };
 
@@ -120,8 +121,6 @@
     std::unique_ptr<placement_strategy> strategy;
     if (name == "earliest_finish")
         strategy = std::make_unique<earliest_finish>();
-    else if (name == "job_tail")
-        strategy = std::make_unique<job_tail>();
     else if (name == "random")
         strategy = std::make_unique<random_choice>();
     else if (name == "round_robin")
--- a/tests/request/policy_test.cpp
+++ b/tests/request/policy_test.cpp
@@ -50,10 +50,10 @@
 BOOST_AUTO_TEST_CASE(a_flood_leaves_the_other_team_its_share)
 {
     fair_queue queue;
-    queue.push(0, "flood", 1.0, 9, 1, 100'000);
+    queue.push(0, "flood", 1.0, 9, {0, 1}, 100'000);
     for (int i = 0; i < 1000; ++i)
         queue.pop(0, 100.0);
-    queue.push(0, "quiet", 1.0, 0, 2, 100);
+    queue.push(0, "quiet", 1.0, 0, {0, 2}, 100);
     int quiet = 0;
     for (int i = 0; i < 100; ++i)
     {
@@ -68,8 +68,8 @@
 BOOST_AUTO_TEST_CASE(weights_and_true_costs_divide_the_slots)
 {
     fair_queue queue;
-    queue.push(0, "heavy", 3.0, 5, 1, 10'000);
-    queue.push(0, "light", 1.0, 5, 2, 10'000);
+    queue.push(0, "heavy", 3.0, 5, {0, 1}, 10'000);
+    queue.push(0, "light", 1.0, 5, {0, 2}, 10'000);
     int heavy = 0;
     for (int i = 0; i < 400; ++i)
     {
@@ -83,14 +83,31 @@
 BOOST_AUTO_TEST_CASE(the_most_urgent_of_a_team_goes_first)
 {
     fair_queue queue;
-    queue.push(0, "t", 1.0, 2, 1, 1);
-    queue.push(0, "t", 1.0, 9, 2, 1);
+    queue.push(0, "t", 1.0, 2, {0, 1}, 1);
+    queue.push(0, "t", 1.0, 9, {1000, 2}, 1);
     BOOST_TEST(queue.next(any_pool)->job == 2U);
-    queue.remove(0, "t", 2);
+    queue.remove(0, "t", {1000, 2});
     BOOST_TEST(queue.next(any_pool)->job == 1U);
     BOOST_TEST(queue.waiting() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(jobs_as_urgent_go_by_the_time_they_would_be_over_alone)
+{
+    fair_queue queue;
+    queue.push(0, "t", 1.0, 5, {2000, 1}, 180);
+    queue.push(0, "t", 1.0, 5, {1500, 2}, 1);
+    BOOST_TEST(queue.next(any_pool)->job == 2U);
+    queue.pop(0, 1.0);
+    queue.push(0, "t", 1.0, 5, {2500, 3}, 1);
+    BOOST_TEST(queue.next(any_pool)->job == 1U);
+    // A task that comes back keeps its job's place.
+    queue.pop(0, 1.0);
+    queue.push(0, "t", 1.0, 5, {2000, 1}, 1);
+    BOOST_TEST(queue.waiting() == 181U);
+    queue.remove(0, "t", {2000, 1});
+    BOOST_TEST(queue.next(any_pool)->job == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_ejected_and_probed)
 {
     auto directory = directory_of(10);
@@ -127,8 +144,8 @@
     busy.free_slots = 0;
     directory.on_load(instant(), "w0", busy);
     const auto placement = make_placement("earliest_finish").value();
-    BOOST_TEST(!placement->choose(directory, {0, 100.0, 1, 1, 0.0, false}));
-    BOOST_TEST((placement->choose(directory, {0, 100.0, 100, 100, 0.0, false}) == worker_index(1)));
+    BOOST_TEST(!placement->choose(directory, {0, 100.0, 100.0, 0.0, false}));
+    BOOST_TEST((placement->choose(directory, {0, 100.0, 10'000.0, 0.0, false}) == worker_index(1)));
     BOOST_TEST(!make_placement("best"));
 }
 
