--- a/src/version/config_store.cpp
+++ b/src/version/config_store.cpp
@@ -102,10 +102,13 @@
         return resolve(store, written, base);
     if (swapped.value().swapped)
         return apply_report{apply_outcome::applied, {swapped.value().revision, text}};
-    stored_document current;
-    if (const auto& item = swapped.value().current)
-        current = {item->revision, without_mark(item->value)};
-    return apply_report{apply_outcome::conflict, current};
+    const auto& item = swapped.value().current;
+    if (!item)
+        return apply_report{apply_outcome::conflict, {}};
+    // The connection repeats a write whose answer was lost at the service's next address; what the
+    // second one meets is then the first one's effect.
+    const auto outcome = item->value == written ? apply_outcome::applied : apply_outcome::conflict;
+    return apply_report{outcome, {item->revision, without_mark(item->value)}};
 }
 
 std::string diff_lines(const std::string& before, const std::string& after)
--- /dev/null
+++ b/tests/process/fleet_helpers.py
@@ -0,0 +1,72 @@
+"""What the tests with real processes share: a fleet on loopback, calls to it, expectations."""
+import contextlib
+import json
+import pathlib
+import subprocess
+import sys
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BUILD = ROOT / "build"
+FLEET = BUILD / "run" / "fleet.json"
+PORT = 25000
+STORE = f"127.0.0.1:{PORT}"
+ENTRIES = [f"127.0.0.1:{PORT + 200 + i}" for i in range(3)]
+PATIENCE_S = 60
+
+
+def call(method, address, path, body=None):
+    data = body if isinstance(body, bytes) else None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=PATIENCE_S) as answer:
+            return answer.status, json.loads(answer.read() or b"{}")
+    except urllib.error.HTTPError as error:
+        text = error.read()
+        return error.code, json.loads(text) if text else {}
+    except OSError:
+        return 0, {"outcome": "no connection"}
+
+
+def members(role):
+    return [p for p in json.loads(FLEET.read_text()) if p["role"] == role]
+
+
+def starts(name=""):
+    """Tasks started by all backend servers, or by one."""
+    total = 0
+    for backend in members("backend"):
+        if name not in ("", backend["name"]):
+            continue
+        with urllib.request.urlopen(f"http://{backend['http']}/starts", timeout=5) as answer:
+            total += int(answer.read())
+    return total
+
+
+def expect(condition, text):
+    print(("ok     " if condition else "FAILED ") + text, flush=True)
+    if not condition:
+        sys.exit(1)
+
+
+@contextlib.contextmanager
+def fleet(agents):
+    """A fleet that is up inside a with block."""
+    subprocess.run([ROOT / "tools" / "local_fleet", "up", "--agents", str(agents), "--port",
+                    str(PORT)], check=True)
+    try:
+        yield
+    finally:
+        subprocess.run([ROOT / "tools" / "local_fleet", "down"], check=True)
+
+
+def control(*arguments, check=False):
+    """Runs the control program. Returns what it did, with its output as text."""
+    return subprocess.run([BUILD / "tarragonlock", *arguments], check=check, text=True,
+                          capture_output=True)
+
+
+def apply(path, *arguments, check=False):
+    return control("apply", path, "--store", STORE, "--entries", ",".join(ENTRIES), "--wait",
+                   *arguments, check=check)
--- a/tests/process/fleet_test.py
+++ b/tests/process/fleet_test.py
@@ -1,34 +1,11 @@
 #!/usr/bin/env python3
 """Runs real processes: crossed callers, a killed entry, a paused one, a graceful stop, bad input."""
 import concurrent.futures
-import json
 import os
-import pathlib
 import signal
-import subprocess
-import sys
 import time
-import urllib.error
-import urllib.request
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-FLEET = ROOT / "build" / "run" / "fleet.json"
-PORT = 25000
-ENTRIES = [f"127.0.0.1:{PORT + 200 + i}" for i in range(3)]
-PATIENCE_S = 60
-
-
-def call(method, address, path, body=None):
-    data = body if isinstance(body, bytes) else None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method)
-    try:
-        with urllib.request.urlopen(request, timeout=PATIENCE_S) as answer:
-            return answer.status, json.loads(answer.read() or b"{}")
-    except urllib.error.HTTPError as error:
-        text = error.read()
-        return error.code, json.loads(text) if text else {}
-    except OSError:
-        return 0, {"outcome": "no connection"}
+from fleet_helpers import ENTRIES, ROOT, apply, call, expect, fleet, members, starts
 
 
 def job(name, tasks, ms=30):
@@ -40,24 +17,6 @@
     return call("PUT", entry, f"/v1/jobs/{name}", job(name, tasks, ms))
 
 
-def members(role):
-    return [p for p in json.loads(FLEET.read_text()) if p["role"] == role]
-
-
-def starts():
-    total = 0
-    for backend in members("backend"):
-        with urllib.request.urlopen(f"http://{backend['http']}/starts", timeout=5) as answer:
-            total += int(answer.read())
-    return total
-
-
-def expect(condition, text):
-    print(("ok     " if condition else "FAILED ") + text, flush=True)
-    if not condition:
-        sys.exit(1)
-
-
 def own(answer, name, tasks):
     return answer.get("results") == [f"{name}/{i}" for i in range(tasks)]
 
@@ -126,20 +85,14 @@
 
 
 def main():
-    subprocess.run([ROOT / "tools" / "local_fleet", "up", "--agents", "4", "--port", str(PORT)],
-                   check=True)
-    try:
-        subprocess.run([ROOT / "build" / "tarragonlock", "apply", ROOT / "examples/clearing.yaml",
-                        "--store", f"127.0.0.1:{PORT}", "--wait", "--entries", ",".join(ENTRIES)],
-                       check=True)
+    with fleet(4):
+        apply(ROOT / "examples" / "clearing.yaml", check=True)
         with concurrent.futures.ThreadPoolExecutor(64) as pool:
             crossed_callers(pool)
             bad_input()
             paused_agent(pool)
             killed_entry(pool)
             graceful_stop(pool)
-    finally:
-        subprocess.run([ROOT / "tools" / "local_fleet", "down"], check=True)
 
 
 if __name__ == "__main__":
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -27,8 +27,8 @@
 Options:
   --listen ADDRESS  Where calls are taken, host:port.
 
-PUT /fault with none, down (no answers), slow (2 s) or lose (effect without an answer) changes how
-calls are answered; GET /calls tells how many came.
+PUT /fault with none, down (no answers), slow (2 s), lose (effect without an answer) or lose-write
+(the same for one transaction, whose connection stays silent) changes how calls are answered; GET /calls tells how many came.
 )";
 
 std::atomic<bool> stopping{false};
@@ -237,7 +237,8 @@
     none,
     down,
     slow,
-    lose
+    lose,
+    lose_write
 };
 
 std::atomic<fault> current{fault::none};
@@ -260,6 +261,9 @@
     const auto reply = handler(body);
     if (now == fault::lose)
         return;
+    auto expected = fault::lose_write;
+    if (request.path == "/v3/kv/txn" && current.compare_exchange_strong(expected, fault::none))
+        return std::this_thread::sleep_for(std::chrono::seconds(4));
     response.status = 200;
     response.set_content(reply.dump() + "\n", "application/json");
 }
@@ -327,10 +331,11 @@
     server.Put("/fault",
                [](const auto& request, auto&)
                {
-                   current = request.body == "down"   ? fault::down
-                             : request.body == "slow" ? fault::slow
-                             : request.body == "lose" ? fault::lose
-                                                      : fault::none;
+                   current = request.body == "down"         ? fault::down
+                             : request.body == "slow"       ? fault::slow
+                             : request.body == "lose"       ? fault::lose
+                             : request.body == "lose-write" ? fault::lose_write
+                                                            : fault::none;
                });
     server.Get("/calls", [](const auto&, auto& response)
                { response.set_content(std::to_string(calls), "text/plain"); });
