--- a/src/process/entry_core_workers.cpp
+++ b/src/process/entry_core_workers.cpp
@@ -68,11 +68,8 @@
         ++counters_.messages_wasted;
         return;
     }
-    // An offer that nothing waits for ends the agent's belief that tasks wait here.
-    const bool was_told = std::exchange(directory_.at(*worker).told_backlog, false);
-    if (was_told && dispatcher_->waiting_tasks() == 0)
-        ++counters_.messages_wasted;
-    if (!was_told)
+    // An offer that isn't used ends the agent's belief that tasks wait here; the agent counts it.
+    if (!std::exchange(directory_.at(*worker).told_backlog, false))
         tell_status(from);
 }
 
