request: tasks wait at agents again; an unused offer counts once

What stays is how wasted messages are counted: an offer that nobody used was counted by its slots at the agent and once more at the entry. The contract asks for the share of messages, so each counts once, at the agent.

--- a/bench/run.py
+++ b/bench/run.py
@@ -43,11 +43,11 @@
         with fleets.Fleet(entry_options={"placement": strategy}) as fleet:
             fleet.load(warm, "warm")
             before = fleet.messages(), fleet.sum_of("entry", "messages_wasted_total") + \
-                fleet.sum_of("agent", "agent_messages_wasted_total")
+                fleet.sum_of("agent", "agent_offers_unused_total")
             times[strategy] = complete_times(fleet.load(path, strategy))
             sent = fleet.messages() - before[0]
             wasted = fleet.sum_of("entry", "messages_wasted_total") + fleet.sum_of(
-                "agent", "agent_messages_wasted_total") - before[1]
+                "agent", "agent_offers_unused_total") - before[1]
             if strategy == STRATEGIES[0]:
                 results["messages.per_task"] = sent / sum(len(job["tasks"]) for job in jobs)
                 results["messages.wasted_share"] = wasted / sent
--- a/include/tarragonlock/connection/message.hpp
+++ b/include/tarragonlock/connection/message.hpp
@@ -166,8 +166,6 @@
     std::uint32_t deadline_ms = 0;
     /// Tasks that wait at the entry for this service after this message.
     std::uint32_t backlog = 0;
-    /// Most tasks that may wait at the agent for a slot; those beyond go back at once.
-    std::uint32_t may_wait = 0;
     std::vector<task_start> tasks;
     friend bool operator==(const start_tasks&, const start_tasks&) = default;
 };
--- a/include/tarragonlock/process/agent_core.hpp
+++ b/include/tarragonlock/process/agent_core.hpp
@@ -84,12 +84,9 @@
     std::uint64_t starts_refused_config = 0;
     std::uint64_t starts_refused_leaving = 0;
     std::uint64_t starts_refused_majority = 0;
-    std::uint64_t starts_refused_busy = 0;
     std::uint64_t messages_sent = 0;
     message_counts sent_by_type{};
     std::uint64_t offers_unused = 0;
-    /// Messages that changed nothing: unused offers, starts that went back and their answers.
-    std::uint64_t messages_wasted = 0;
 };
 
 /// Every decision of an agent, without sockets, threads or clock: events and the time go in,
@@ -174,7 +171,6 @@
     /// @return the agent's clock in milliseconds.
     static std::uint64_t grant_stamp(instant now);
     bool may_start(instant now, const start_tasks& batch);
-    bool must_go_back(const start_tasks& batch, const task_start& task) const;
     bool known_to_majority() const;
     bool fenced(std::uint32_t shard, std::uint64_t epoch) const;
     void start_queued(instant now);
--- a/include/tarragonlock/request/placement.hpp
+++ b/include/tarragonlock/request/placement.hpp
@@ -35,9 +35,6 @@
     virtual std::optional<worker_index> choose(const worker_directory& directory,
                                                const placement_request& request) = 0;
 
-    /// @return how many tasks may wait at a worker; by default tasks wait at the entry only.
-    virtual std::uint32_t may_wait() const { return 0; }
-
     /// @return whether the task would go to this worker if that had a free slot and no faster one
     ///         had; its agent is asked for slots only then.
     virtual bool wants(const worker_directory&, const placement_request&, worker_index) const
--- a/include/tarragonlock/request/start_records.hpp
+++ b/include/tarragonlock/request/start_records.hpp
@@ -41,8 +41,6 @@
     /// Answers a question about an attempt. One that was never accepted is barred from now on.
     task_outcome query(instant now, const task_attempt& attempt);
 
-    /// @return whether this attempt at a task, or a later one, has a record.
-    bool knows(const task_attempt& attempt) const;
     /// Bars all tasks of a job that have not been accepted yet.
     void bar_job(instant now, const std::string& job);
 
--- a/src/process/agent_core.cpp
+++ b/src/process/agent_core.cpp
@@ -83,7 +83,6 @@
     view.offered -=
         std::min<std::uint32_t>(view.offered, static_cast<std::uint32_t>(batch.tasks.size()));
     const bool allowed = may_start(now, batch);
-    const auto refused_before = counters_.starts_refused_busy;
     for (const auto& task : batch.tasks)
     {
         if (!allowed)
@@ -95,13 +94,6 @@
                 report(now, entry, known);
             continue;
         }
-        if (must_go_back(batch, task))
-        {
-            ++counters_.starts_refused_busy;
-            // Recorded as barred, like every start that is refused.
-            report(now, entry, records_.query(now, {batch.job, task.index, task.attempt}));
-            continue;
-        }
         switch (records_.accept(now, entry, batch, task))
         {
         case start_verdict::fresh:
@@ -122,20 +114,8 @@
                               task.expected_ms});
         ++queued_;
     }
-    const auto refused = counters_.starts_refused_busy - refused_before;
-    if (refused > 0)
-        counters_.messages_wasted += refused == batch.tasks.size() ? 2 : 1;
     start_queued(now);
-    flush(now, entry, !allowed || refused > 0);
-}
-
-/// An entry may count on slots that another one has taken since; its tasks are better off elsewhere
-/// than behind the others' here.
-bool agent_core::must_go_back(const start_tasks& batch, const task_start& task) const
-{
-    const auto taken = running_.size() + queued_;
-    const auto room = std::uint64_t{backend_.slots} + batch.may_wait;
-    return taken >= room && !records_.knows({batch.job, task.index, task.attempt});
+    flush(now, entry, !allowed);
 }
 
 bool agent_core::may_start(instant now, const start_tasks& batch)
--- a/src/process/agent_core_reports.cpp
+++ b/src/process/agent_core_reports.cpp
@@ -63,7 +63,6 @@
                 // The entry had no use for the offer, so it counts as satisfied until it asks
                 // again.
                 ++counters_.offers_unused;
-                ++counters_.messages_wasted;
                 view.offered = 0;
                 view.backlog = 0;
             }
--- a/src/process/agent_daemon.cpp
+++ b/src/process/agent_daemon.cpp
@@ -261,9 +261,7 @@
                counter_text("agent_starts_refused_leaving_total", counters.starts_refused_leaving) +
                counter_text("agent_starts_refused_majority_total",
                             counters.starts_refused_majority) +
-               counter_text("agent_starts_refused_busy_total", counters.starts_refused_busy) +
                counter_text("agent_offers_unused_total", counters.offers_unused) +
-               counter_text("agent_messages_wasted_total", counters.messages_wasted) +
                counter_text("agent_messages_sent_total", counters.messages_sent) +
                message_counts_text("agent_", counters.sent_by_type) +
                counter_text("agent_link_bytes_sent_total", traffic.bytes_sent) +
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -198,9 +198,7 @@
         return;
     case task_status::not_started:
         ++counters_.tasks_not_started;
-        // A worker without free slots refuses nothing but what is too much; others need a pause.
-        if (directory_.at(worker).load.free_slots > 0)
-            directory_.rest(worker, now + options_.refusal_pause);
+        directory_.rest(worker, now + options_.refusal_pause);
         queue_.charge(state.job.team, -expected);
         retry(handle, outcome.index);
         return;
--- a/src/request/dispatcher_placement.cpp
+++ b/src/request/dispatcher_placement.cpp
@@ -143,7 +143,6 @@
         for (const auto index : indices)
             batch.tasks.push_back({index, state.tasks[index].attempt, state.job.tasks[index].body,
                                    static_cast<std::uint32_t>(state.tasks[index].expected_ms)});
-        batch.may_wait = placement_->may_wait();
         worker.told_backlog = batch.backlog > 0;
         messages_.push_back({worker.id.name, std::move(batch)});
     }
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <random>
 
 namespace tarragonlock
@@ -15,8 +14,6 @@
 class earliest_finish : public placement_strategy
 {
 public:
-    std::uint32_t may_wait() const override { return tasks_ahead; }
-
     std::optional<worker_index> choose(const worker_directory& directory,
                                        const placement_request& request) override
     {
@@ -38,10 +35,6 @@
     }
 
 private:
-    /// Entries don't hear of each other's starts, so two may use one free slot: a task or two that
-    /// wait for the next slot cost less than messages that carry them back.
-    static constexpr std::uint32_t tasks_ahead = 0;
-
     static bool helps(const worker_pool& pool, const placement_request& request,
                       double log_slowness)
     {
@@ -62,14 +55,7 @@
     return worker.connected && !worker.leaving;
 }
 
-/// Sends every task at once, so that tasks wait at the workers.
-class immediate : public placement_strategy
-{
-public:
-    std::uint32_t may_wait() const override { return std::numeric_limits<std::uint32_t>::max(); }
-};
-
-class random_choice : public immediate
+class random_choice : public placement_strategy
 {
 public:
     std::optional<worker_index> choose(const worker_directory& directory,
@@ -91,7 +77,7 @@
     std::mt19937_64 engine_{1};
 };
 
-class round_robin : public immediate
+class round_robin : public placement_strategy
 {
 public:
     std::optional<worker_index> choose(const worker_directory& directory,
@@ -111,7 +97,7 @@
     std::size_t next_ = 0;
 };
 
-class least_outstanding : public immediate
+class least_outstanding : public placement_strategy
 {
 public:
     std::optional<worker_index> choose(const worker_directory& directory,
--- a/src/request/start_records.cpp
+++ b/src/request/start_records.cpp
@@ -91,17 +91,6 @@
     return barred;
 }
 
-bool start_records::knows(const task_attempt& attempt) const
-{
-    const auto job = jobs_.find(attempt.job);
-    if (job == jobs_.end())
-        return false;
-    const auto& tasks = job->second.tasks;
-    return std::any_of(tasks.begin(), tasks.end(),
-                       [&](const auto& task)
-                       { return task.index == attempt.index && task.attempt >= attempt.attempt; });
-}
-
 void start_records::bar_job(instant now, const std::string& job)
 {
     touch(now, job).barred = true;
