process: an agent offers a freed slot to the team that uses least, not to the entry

Cause: during a flood each entry had work, and an agent offered a freed slot to the entry that used the fewest slots there. A team within its share whose job waited at one entry got a third of what came free, however little it used.

Change: starts carry their team, and what entries tell of their waiting tasks names the team whose task goes next, with its weight. The agent counts running tasks by team, those of all entries, and offers to the lowest number over weight. An agent that was told of another team hears of one that begins to wait. No count is shared between entries. Message version 3.

Ruled out: leaving it to the entries' fair queues; they see their own tasks.

The new unit test fails with the old order and passes with the new one.

--- a/include/tarragonlock/connection/codec.hpp
+++ b/include/tarragonlock/connection/codec.hpp
@@ -23,7 +23,7 @@
 std::error_code make_error_code(codec_error error);
 
 /// Version of the message layout; processes of different layouts drop each other's messages.
-inline constexpr std::uint8_t message_version = 2;
+inline constexpr std::uint8_t message_version = 3;
 /// Longest encoded message, in bytes.
 inline constexpr std::size_t max_message_bytes = 8U << 20U;
 
--- a/include/tarragonlock/connection/message.hpp
+++ b/include/tarragonlock/connection/message.hpp
@@ -151,11 +151,22 @@
     friend bool operator==(const task_start&, const task_start&) = default;
 };
 
+/// Tasks that wait at an entry, and the team whose task goes next.
+struct backlog
+{
+    std::uint32_t tasks = 0;
+    std::string team;
+    /// The team's share of the slots relative to other teams'.
+    double weight = 1.0;
+    friend bool operator==(const backlog&, const backlog&) = default;
+};
+
 /// Starts tasks of one job on one worker.
 struct start_tasks
 {
     std::string job;
     std::string service;
+    std::string team;
     std::uint64_t digest = 0;
     std::uint32_t task_count = 0;
     std::uint32_t shard = 0;
@@ -164,8 +175,8 @@
     /// Agent's clock stamp of the newest status that the entry holds.
     std::uint64_t grant_stamp = 0;
     std::uint32_t deadline_ms = 0;
-    /// Tasks that wait at the entry for this service after this message.
-    std::uint32_t backlog = 0;
+    /// What waits at the entry for this service after this message.
+    backlog waiting;
     std::vector<task_start> tasks;
     friend bool operator==(const start_tasks&, const start_tasks&) = default;
 };
@@ -174,7 +185,7 @@
 struct slot_request
 {
     std::string service;
-    std::uint32_t backlog = 0;
+    backlog waiting;
     friend bool operator==(const slot_request&, const slot_request&) = default;
 };
 
--- a/include/tarragonlock/connection/worker_directory.hpp
+++ b/include/tarragonlock/connection/worker_directory.hpp
@@ -48,6 +48,8 @@
     std::uint32_t outstanding = 0;
     /// Whether the agent was told that tasks wait here.
     bool told_backlog = false;
+    /// The team that it was told of.
+    std::string told_team;
     std::uint64_t results_through = 0;
     instant last_heard;
     instant lost_at;
--- a/include/tarragonlock/process/agent_core.hpp
+++ b/include/tarragonlock/process/agent_core.hpp
@@ -128,6 +128,7 @@
         std::uint32_t shard = minted_shard;
         std::uint64_t epoch = 0;
         std::uint32_t expected_ms = 0;
+        std::string team;
     };
 
     /// What the agent knows about one entry.
@@ -136,7 +137,7 @@
         bool connected = false;
         /// The entry answered the announcement on this connection, so it knows of this worker.
         bool knows_worker = false;
-        std::uint32_t backlog = 0;
+        backlog waiting;
         std::uint32_t offered = 0;
         instant offer_expires;
         instant last_sent;
@@ -152,6 +153,7 @@
     struct running_task
     {
         std::string owner;
+        std::string team;
         instant started;
         std::uint32_t expected_ms = 0;
     };
@@ -180,6 +182,8 @@
     bool more_of_job(const std::string& job) const;
     void flush(instant now, const std::string& entry, bool all);
     void offer_slots(instant now);
+    /// @return what decides between entries that want slots; the lowest goes first.
+    std::pair<double, std::uint32_t> claim(const entry_view& entry) const;
     void announce_to(instant now, const std::string& entry);
     void announce_to_all(instant now);
     void tell_load(instant now);
@@ -194,6 +198,8 @@
     speed_estimate speed_;
     start_records records_;
     std::map<std::string, entry_view> entries_;
+    /// Running tasks of each team, those of all entries.
+    std::map<std::string, std::uint32_t> running_of_team_;
     absl::flat_hash_map<std::string, running_task> running_;
     std::array<std::uint64_t, shard_count> fences_{};
     backend_announcement backend_;
--- a/include/tarragonlock/request/dispatcher.hpp
+++ b/include/tarragonlock/request/dispatcher.hpp
@@ -152,14 +152,21 @@
     double expect_run_time(const std::string& service, std::uint32_t declared_ms) const;
     double due(instant now, const job_state& state) const;
     void learn(const std::string& service, double run_ms);
+    /// The task that goes next in a pool, and what agents are told of it.
+    struct next_task
+    {
+        placement_request request;
+        backlog waiting;
+    };
+
     placement_request request_for(instant now, const job_state& state) const;
-    /// @return the request of the task that goes next in each pool, where one waits.
-    std::vector<std::optional<placement_request>> next_requests(instant now) const;
+    /// @return the task that goes next in each pool, where one waits.
+    std::vector<std::optional<next_task>> next_tasks(instant now) const;
     bool place_next(instant now, const fair_queue::choice& next,
                     std::map<batch_key, std::vector<std::uint32_t>>& batches);
     void send_batches(const std::map<batch_key, std::vector<std::uint32_t>>& batches,
-                      const std::vector<std::optional<placement_request>>& next, instant now);
-    void tell_backlog(const std::vector<std::optional<placement_request>>& next);
+                      const std::vector<std::optional<next_task>>& next, instant now);
+    void tell_backlog(const std::vector<std::optional<next_task>>& next);
     void apply(instant now, worker_index worker, const task_outcome& outcome);
     void retry(job_handle handle, std::uint32_t index);
     void lose_task(instant now, job_handle handle, std::uint32_t index);
@@ -184,6 +191,8 @@
     absl::btree_set<std::pair<instant, job_handle>> deadlines_;
     job_handle next_handle_ = 1;
     std::size_t notice_cursor_ = 0;
+    /// Pools where a team has begun to wait; agents that were told of another one hear of it.
+    absl::btree_set<pool_index> newly_waiting_;
     instant lost_checked_;
     std::vector<send_message> messages_;
     /// Jobs to cancel at each worker, sent together.
--- a/src/connection/codec.cpp
+++ b/src/connection/codec.cpp
@@ -114,9 +114,10 @@
 TARRAGONLOCK_FIELDS(job_record, v.id, v.digest, v.finished, v.reply)
 TARRAGONLOCK_FIELDS(handover, v.table_version, v.shards, v.certain_since_ms, v.records)
 TARRAGONLOCK_FIELDS(task_start, v.index, v.attempt, v.body, v.expected_ms)
-TARRAGONLOCK_FIELDS(start_tasks, v.job, v.service, v.digest, v.task_count, v.shard, v.epoch,
-                    v.config_version, v.grant_stamp, v.deadline_ms, v.backlog, v.tasks)
-TARRAGONLOCK_FIELDS(slot_request, v.service, v.backlog)
+TARRAGONLOCK_FIELDS(backlog, v.tasks, v.team, v.weight)
+TARRAGONLOCK_FIELDS(start_tasks, v.job, v.service, v.team, v.digest, v.task_count, v.shard, v.epoch,
+                    v.config_version, v.grant_stamp, v.deadline_ms, v.waiting, v.tasks)
+TARRAGONLOCK_FIELDS(slot_request, v.service, v.waiting)
 TARRAGONLOCK_FIELDS(cancel_jobs, v.jobs)
 TARRAGONLOCK_FIELDS(query_tasks, v.tasks)
 TARRAGONLOCK_FIELDS(fence_shards, v.request, v.shards)
--- a/src/process/agent_core.cpp
+++ b/src/process/agent_core.cpp
@@ -40,7 +40,7 @@
     auto& view = entries_[entry];
     view.connected = false;
     view.knows_worker = false;
-    view.backlog = 0;
+    view.waiting = {};
     view.offered = 0;
 }
 
@@ -79,7 +79,7 @@
 {
     auto& view = entries_[entry];
     view.tasks_received += batch.tasks.size();
-    view.backlog = batch.backlog;
+    view.waiting = batch.waiting;
     view.offered -=
         std::min<std::uint32_t>(view.offered, static_cast<std::uint32_t>(batch.tasks.size()));
     const bool allowed = may_start(now, batch);
@@ -111,7 +111,8 @@
                               now + std::chrono::milliseconds(batch.deadline_ms),
                               batch.shard,
                               batch.epoch,
-                              task.expected_ms});
+                              task.expected_ms,
+                              batch.team});
         ++queued_;
     }
     start_queued(now);
@@ -168,7 +169,7 @@
 
 void agent_core::handle(instant now, const std::string& entry, const slot_request& request)
 {
-    entries_[entry].backlog = request.backlog;
+    entries_[entry].waiting = request.waiting;
     offer_slots(now);
 }
 
@@ -289,7 +290,9 @@
     }
     ++counters_.tasks_started;
     ++entries_[owner].running;
-    running_[key_of(task.attempt.job, task.attempt.index)] = {owner, now, task.expected_ms};
+    ++running_of_team_[task.team];
+    running_[key_of(task.attempt.job, task.attempt.index)] = {owner, task.team, now,
+                                                              task.expected_ms};
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(task.deadline - now);
     effects_.emplace_back(run_task{std::move(task.attempt), backend_.address, std::move(task.body),
                                    static_cast<std::uint32_t>(left.count())});
@@ -308,6 +311,8 @@
     const auto began = found->second.started;
     const auto expected_ms = found->second.expected_ms;
     --entries_[starter].running;
+    if (const auto team = running_of_team_.find(found->second.team); --team->second == 0)
+        running_of_team_.erase(team);
     running_.erase(found);
     records_.finish(now, outcome);
     const bool succeeded = outcome.status == task_status::succeeded;
--- a/src/process/agent_core_reports.cpp
+++ b/src/process/agent_core_reports.cpp
@@ -37,7 +37,7 @@
     auto& view = entries_[entry];
     if (view.outbox.empty() || !view.connected)
         return;
-    const bool urgent = all || view.backlog > 0 ||
+    const bool urgent = all || view.waiting.tasks > 0 ||
                         now - view.outbox_since >= options_.result_delay ||
                         !more_of_job(view.outbox.back().job);
     if (!urgent)
@@ -64,12 +64,12 @@
                 // again.
                 ++counters_.offers_unused;
                 view.offered = 0;
-                view.backlog = 0;
+                view.waiting = {};
             }
             offered += view.offered;
-            if (!view.connected || view.backlog == 0 || view.offered > 0)
+            if (!view.connected || view.waiting.tasks == 0 || view.offered > 0)
                 continue;
-            if (hungriest == nullptr || view.running < hungriest->running)
+            if (hungriest == nullptr || claim(view) < claim(*hungriest))
             {
                 hungriest = &view;
                 name = &entry;
@@ -77,7 +77,7 @@
         }
         if (hungriest == nullptr || free_slots() <= offered)
             return;
-        hungriest->offered = std::min(free_slots() - offered, hungriest->backlog);
+        hungriest->offered = std::min(free_slots() - offered, hungriest->waiting.tasks);
         hungriest->offer_expires = now + options_.offer_lifetime;
         if (hungriest->outbox.empty())
             send(now, *name, load_report{options_.incarnation, load_for(now, *hungriest)});
@@ -86,6 +86,16 @@
     }
 }
 
+/// The team that uses the fewest slots here for its weight goes first, whichever entry its tasks
+/// wait at, so that teams share the fleet without a count that entries would have to agree on.
+std::pair<double, std::uint32_t> agent_core::claim(const entry_view& entry) const
+{
+    const auto team = running_of_team_.find(entry.waiting.team);
+    const double used = team == running_of_team_.end() ? 0.0 : team->second;
+    const double weight = entry.waiting.weight > 0.0 ? entry.waiting.weight : 1.0;
+    return {used / weight, entry.running};
+}
+
 std::uint32_t agent_core::free_slots() const
 {
     if (!accepting())
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -32,6 +32,7 @@
     config_ = std::move(config);
     directory_.use(config_);
     queue_.clear();
+    newly_waiting_.clear();
     std::vector<job_handle> waiting;
     for (const auto& [handle, state] : jobs_)
         waiting.push_back(handle);
@@ -155,6 +156,8 @@
         return;
     const auto& state = jobs_.at(handle);
     const auto* team = config_->find_team(state.job.team);
+    if (queue_.waiting_of_team(state.job.team) == 0)
+        newly_waiting_.insert(state.pool);
     queue_.push(state.pool, state.job.team, team ? team->weight : 1.0, state.urgency,
                 {state.due_ms, handle}, tasks);
 }
--- a/src/request/dispatcher_placement.cpp
+++ b/src/request/dispatcher_placement.cpp
@@ -68,9 +68,9 @@
         if (!place_next(now, *next, batches))
             blocked[next->pool] = true;
     }
-    const auto waiting = next_requests(now);
-    send_batches(batches, waiting, now);
-    tell_backlog(waiting);
+    const auto next = next_tasks(now);
+    send_batches(batches, next, now);
+    tell_backlog(next);
 }
 
 placement_request dispatcher::request_for(instant now, const job_state& state) const
@@ -80,15 +80,20 @@
             runs_for.count(), state.job.idempotent};
 }
 
-std::vector<std::optional<placement_request>> dispatcher::next_requests(instant now) const
+std::vector<std::optional<dispatcher::next_task>> dispatcher::next_tasks(instant now) const
 {
-    std::vector<std::optional<placement_request>> requests(directory_.pool_count());
-    for (pool_index pool = 0; pool < requests.size(); ++pool)
+    std::vector<std::optional<next_task>> next(directory_.pool_count());
+    for (pool_index pool = 0; pool < next.size(); ++pool)
     {
-        if (const auto job = queue_.head(pool))
-            requests[pool] = request_for(now, jobs_.at(*job));
+        const auto job = queue_.head(pool);
+        if (!job)
+            continue;
+        const auto& state = jobs_.at(*job);
+        const auto* team = config_->find_team(state.job.team);
+        next[pool] = {request_for(now, state),
+                      {queue_.waiting(pool), state.job.team, team ? team->weight : 1.0}};
     }
-    return requests;
+    return next;
 }
 
 bool dispatcher::place_next(instant now, const fair_queue::choice& next,
@@ -118,8 +123,7 @@
 }
 
 void dispatcher::send_batches(const std::map<batch_key, std::vector<std::uint32_t>>& batches,
-                              const std::vector<std::optional<placement_request>>& next,
-                              instant now)
+                              const std::vector<std::optional<next_task>>& next, instant now)
 {
     for (const auto& [key, indices] : batches)
     {
@@ -128,6 +132,7 @@
         start_tasks batch;
         batch.job = state.job.id;
         batch.service = state.job.service;
+        batch.team = state.job.team;
         batch.digest = state.digest;
         batch.task_count = static_cast<std::uint32_t>(state.tasks.size());
         batch.shard = state.right.shard;
@@ -138,24 +143,26 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(state.deadline - now);
         batch.deadline_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
         const auto& waiting = next[state.pool];
-        if (waiting && placement_->wants(directory_, *waiting, key.first))
-            batch.backlog = queue_.waiting(state.pool);
+        if (waiting && placement_->wants(directory_, waiting->request, key.first))
+            batch.waiting = waiting->waiting;
         for (const auto index : indices)
             batch.tasks.push_back({index, state.tasks[index].attempt, state.job.tasks[index].body,
                                    static_cast<std::uint32_t>(state.tasks[index].expected_ms)});
-        worker.told_backlog = batch.backlog > 0;
+        worker.told_backlog = batch.waiting.tasks > 0;
+        worker.told_team = batch.waiting.team;
         messages_.push_back({worker.id.name, std::move(batch)});
     }
 }
 
 /// Tells some workers without free slots that tasks wait, so that they offer slots others free.
-void dispatcher::tell_backlog(const std::vector<std::optional<placement_request>>& next)
+void dispatcher::tell_backlog(const std::vector<std::optional<next_task>>& next)
 {
     for (pool_index i = 0; i < next.size(); ++i)
     {
         if (!next[i])
             continue;
-        const auto waiting = queue_.waiting(i);
+        const auto& [request, waiting] = *next[i];
+        const bool newly_waiting = newly_waiting_.contains(i);
         const auto& members = directory_.pool(i).members;
         std::uint32_t told = 0;
         for (std::size_t tried = 0; tried < members.size() && told < options_.backlog_notices;
@@ -163,15 +170,19 @@
         {
             const auto index = members[notice_cursor_++ % members.size()];
             auto& worker = directory_.at(index);
-            if (worker.told_backlog || !worker.connected || worker.leaving || worker.ejected ||
-                !placement_->wants(directory_, *next[i], index))
+            const bool knows =
+                worker.told_backlog && (!newly_waiting || worker.told_team == waiting.team);
+            if (knows || !worker.connected || worker.leaving || worker.ejected ||
+                !placement_->wants(directory_, request, index))
                 continue;
             worker.told_backlog = true;
+            worker.told_team = waiting.team;
             ++told;
             messages_.push_back(
                 {worker.id.name, slot_request{directory_.pool(i).service, waiting}});
         }
     }
+    newly_waiting_.clear();
 }
 
 /// Sets a job aside while this entry has no right to start its tasks.
--- a/tests/process/agent_core_test.cpp
+++ b/tests/process/agent_core_test.cpp
@@ -135,6 +135,30 @@
     BOOST_TEST(setup.runs(setup.batch("other-1")) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_freed_slot_is_offered_where_the_team_that_uses_least_waits)
+{
+    fixture setup;
+    auto first = setup.batch("job", 2);
+    first.team = "flood";
+    first.waiting = {1, "quiet", 1.0};
+    BOOST_TEST(setup.runs(first) == 2U);
+    // This entry uses no slot here, but its team does, through the other one.
+    setup.agent->on_message(setup.now, "b", slot_request{"clearing", {50, "flood", 1.0}});
+    setup.agent->take_effects();
+    setup.agent->on_task_finished(setup.now, {"job", 0, 0, task_status::succeeded, 0, "r"});
+    std::map<std::string, std::uint32_t> offered;
+    for (const auto& effect : setup.agent->take_effects())
+    {
+        const auto& outgoing = std::get<send_message>(effect);
+        if (const auto* results = std::get_if<task_results>(&outgoing.body))
+            offered[outgoing.to] = results->load.free_slots;
+        if (const auto* report = std::get_if<load_report>(&outgoing.body))
+            offered[outgoing.to] = report->load.free_slots;
+    }
+    BOOST_TEST(offered["a"] == 1U);
+    BOOST_TEST(offered["b"] == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_backend_server_gets_nothing_new)
 {
     fixture setup;
