--- a/src/process/agent_core.cpp
+++ b/src/process/agent_core.cpp
@@ -80,6 +80,7 @@
     auto& view = entries_[entry];
     view.tasks_received += batch.tasks.size();
     view.waiting = batch.waiting;
+    view.waiting_told = now;
     view.offered -=
         std::min<std::uint32_t>(view.offered, static_cast<std::uint32_t>(batch.tasks.size()));
     const bool allowed = may_start(now, batch);
@@ -170,6 +171,7 @@
 void agent_core::handle(instant now, const std::string& entry, const slot_request& request)
 {
     entries_[entry].waiting = request.waiting;
+    entries_[entry].waiting_told = now;
     offer_slots(now);
 }
 
@@ -291,6 +293,7 @@
     ++counters_.tasks_started;
     ++entries_[owner].running;
     ++running_of_team_[task.team];
+    team_seen_[task.team] = now;
     running_[key_of(task.attempt.job, task.attempt.index)] = {owner, task.team, now,
                                                               task.expected_ms};
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(task.deadline - now);
@@ -313,6 +316,7 @@
     --entries_[starter].running;
     if (const auto team = running_of_team_.find(found->second.team); --team->second == 0)
         running_of_team_.erase(team);
+    team_seen_[found->second.team] = now;
     running_.erase(found);
     records_.finish(now, outcome);
     const bool succeeded = outcome.status == task_status::succeeded;
