--- a/include/tarragonlock/process/agent_core.hpp
+++ b/include/tarragonlock/process/agent_core.hpp
@@ -46,8 +46,6 @@
     duration announcement_lifetime = std::chrono::seconds(3);
     /// Longest time that results of a job with more tasks here wait to travel together.
     duration result_delay = std::chrono::milliseconds(20);
-    /// Time for which slots are kept for a team after its last task.
-    duration team_memory = std::chrono::seconds(10);
     /// Failures in a row at which every entry is told.
     std::uint32_t failures_to_tell = 3;
     agent_mechanisms mechanisms;
@@ -192,7 +190,6 @@
     void announce_to_all(instant now);
     void tell_load(instant now);
     worker_load load_for(instant now, entry_view& entry);
-    std::uint32_t room_for(instant now, const std::string& team) const;
     std::uint32_t free_slots() const;
     std::uint32_t offered_to_others(instant now, const entry_view& entry);
     void observe_config(std::uint64_t version);
@@ -205,8 +202,6 @@
     std::map<std::string, entry_view> entries_;
     /// Running tasks of each team, those of all entries.
     std::map<std::string, std::uint32_t> running_of_team_;
-    /// When a task of each team last began or ended here.
-    std::map<std::string, instant> team_seen_;
     absl::flat_hash_map<std::string, running_task> running_;
     std::array<std::uint64_t, shard_count> fences_{};
     backend_announcement backend_;
--- a/src/process/agent_core.cpp
+++ b/src/process/agent_core.cpp
@@ -293,7 +293,6 @@
     ++counters_.tasks_started;
     ++entries_[owner].running;
     ++running_of_team_[task.team];
-    team_seen_[task.team] = now;
     running_[key_of(task.attempt.job, task.attempt.index)] = {owner, task.team, now,
                                                               task.expected_ms};
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(task.deadline - now);
@@ -316,7 +315,6 @@
     --entries_[starter].running;
     if (const auto team = running_of_team_.find(found->second.team); --team->second == 0)
         running_of_team_.erase(team);
-    team_seen_[found->second.team] = now;
     running_.erase(found);
     records_.finish(now, outcome);
     const bool succeeded = outcome.status == task_status::succeeded;
--- a/src/process/agent_core_reports.cpp
+++ b/src/process/agent_core_reports.cpp
@@ -7,14 +7,6 @@
 namespace tarragonlock
 {
 
-namespace
-{
-
-/// One slot of so many is kept for teams other than the one that borrows.
-constexpr std::uint32_t slots_per_kept_one = 4;
-
-} // namespace
-
 std::uint64_t agent_core::grant_stamp(instant now)
 {
     using std::chrono::milliseconds;
@@ -76,8 +68,7 @@
                     view.waiting = {};
             }
             offered += view.offered;
-            if (!view.connected || view.waiting.tasks == 0 || view.offered > 0 ||
-                room_for(now, view.waiting.team) == 0)
+            if (!view.connected || view.waiting.tasks == 0 || view.offered > 0)
                 continue;
             if (hungriest == nullptr || claim(view) < claim(*hungriest))
             {
@@ -87,8 +78,7 @@
         }
         if (hungriest == nullptr || free_slots() <= offered)
             return;
-        hungriest->offered = std::min({free_slots() - offered, hungriest->waiting.tasks,
-                                       room_for(now, hungriest->waiting.team)});
+        hungriest->offered = std::min(free_slots() - offered, hungriest->waiting.tasks);
         hungriest->offer_expires = now + options_.offer_lifetime;
         if (hungriest->outbox.empty())
             send(now, *name, load_report{options_.incarnation, load_for(now, *hungriest)});
@@ -107,25 +97,6 @@
     return {used / weight, entry.running};
 }
 
-/// Tasks are not preempted, so a team that borrows slots leaves some to the others, as long as
-/// others have run here lately.
-/// @param team  empty for an entry where nothing waits
-/// @return how many more tasks of the team may start here now
-std::uint32_t agent_core::room_for(instant now, const std::string& team) const
-{
-    const auto others =
-        std::count_if(team_seen_.begin(), team_seen_.end(),
-                      [&](const auto& seen)
-                      { return seen.first != team && now - seen.second < options_.team_memory; });
-    // Whoever an entry without waiting tasks gets next, it is one of those seen if only one was.
-    const bool shared = others > (team.empty() ? 1 : 0);
-    const auto kept = shared ? backend_.slots / slots_per_kept_one : 0;
-    const auto running = running_of_team_.find(team);
-    const auto used = running == running_of_team_.end() ? 0U : running->second;
-    const auto most = backend_.slots - kept;
-    return most > used ? most - used : 0;
-}
-
 std::uint32_t agent_core::free_slots() const
 {
     if (!accepting())
@@ -149,7 +120,7 @@
 {
     const auto others = offered_to_others(now, entry);
     const auto open = free_slots();
-    return {std::min(open > others ? open - others : 0, room_for(now, entry.waiting.team)),
+    return {open > others ? open - others : 0,
             queued_,
             grant_stamp(now),
             entry.tasks_received,
@@ -202,8 +173,6 @@
 void agent_core::on_tick(instant now)
 {
     records_.expire(now);
-    std::erase_if(team_seen_,
-                  [&](const auto& seen) { return now - seen.second >= options_.team_memory; });
     if (backend_present_ && now - backend_heard_ > options_.announcement_lifetime)
         on_backend_leaving(now);
     offer_slots(now);
