--- a/include/tarragonlock/request/fair_queue.hpp
+++ b/include/tarragonlock/request/fair_queue.hpp
@@ -32,15 +32,11 @@
 ///
 /// Each team has a virtual time that grows with the slot time it uses over its weight, the
 /// start-time fair queueing of Goyal, Vin and Cheng (1996). The team with the least goes next, so
-/// an idle team's share is lent out and comes back as soon as it has work. Unlike there, a team that
-/// comes back may catch up on what it left unused, within a bound: it uses its share in bursts.
+/// an idle team's share is lent out and comes back as soon as it has work.
 class fair_queue
 {
 public:
     static constexpr std::size_t urgency_levels = 10;
-    /// Slot time that a team may catch up on when it comes back, in milliseconds. It covers a burst
-    /// of a hundred tasks; a team idle for long must not shut others out for as long.
-    static constexpr double most_credit_ms = 30'000.0;
 
     /// Adds tasks of a job.
     void push(pool_index pool, const std::string& team, double weight, std::uint32_t urgency,
--- a/src/request/fair_queue.cpp
+++ b/src/request/fair_queue.cpp
@@ -20,7 +20,7 @@
     const auto [found, inserted] =
         by_name_.try_emplace(team, static_cast<team_index>(accounts_.size()));
     if (inserted)
-        accounts_.push_back({team, weight, 0.0, 0});
+        accounts_.push_back({team, weight, virtual_now_, 0});
     accounts_[found->second].weight = weight;
     return found->second;
 }
@@ -30,9 +30,8 @@
 {
     const auto index = account_for(team, weight);
     auto& account = accounts_[index];
-    const double earliest = virtual_now_ - most_credit_ms / account.weight;
-    if (account.waiting == 0 && account.virtual_time < earliest)
-        advance(index, (earliest - account.virtual_time) * account.weight);
+    if (account.waiting == 0 && account.virtual_time < virtual_now_)
+        advance(index, (virtual_now_ - account.virtual_time) * account.weight);
     if (pools_.size() <= pool)
         pools_.resize(pool + 1);
     auto& queue = pools_[pool];
