connection: the shard table keeps its own version in the key-value service

Cause: the table was written under the version byte of the messages. With message version 3 an entry could not read a table of version 1, would take the service for empty, and begin with epochs that were used before.

Change: a version of its own, still 1, as the layout has not changed.

Before: the new test fails (first byte 3, not 1). After: it passes.

--- a/src/connection/codec.cpp
+++ b/src/connection/codec.cpp
@@ -139,13 +139,13 @@
 {
 
 template<class T>
-result<T> decode_value(std::string_view bytes)
+result<T> decode_value(std::string_view bytes, std::uint8_t version = message_version)
 {
     if (bytes.size() > max_message_bytes)
         return make_error_code(codec_error::oversized);
     if (bytes.empty())
         return make_error_code(codec_error::truncated);
-    if (static_cast<std::uint8_t>(bytes.front()) != message_version)
+    if (static_cast<std::uint8_t>(bytes.front()) != version)
         return make_error_code(codec_error::unknown_version);
     bounded_input_archive archive(bytes.substr(1));
     T value;
@@ -168,9 +168,9 @@
 }
 
 template<class T>
-std::string encode_value(const T& value)
+std::string encode_value(const T& value, std::uint8_t version = message_version)
 {
-    std::string bytes(1, static_cast<char>(message_version));
+    std::string bytes(1, static_cast<char>(version));
     string_output_archive archive(bytes);
     archive(value);
     return bytes;
@@ -193,12 +193,12 @@
 
 std::string encode_table(const shard_table& table)
 {
-    return encode_value(table);
+    return encode_value(table, table_version);
 }
 
 result<shard_table> decode_table(std::string_view bytes)
 {
-    return decode_value<shard_table>(bytes);
+    return decode_value<shard_table>(bytes, table_version);
 }
 
 std::string encode_hello(const hello& value)
--- a/tests/connection/codec_test.cpp
+++ b/tests/connection/codec_test.cpp
@@ -46,6 +46,17 @@
     BOOST_TEST(decode(std::string(max_message_bytes + 1, 'x')).error() == codec_error::oversized);
 }
 
+BOOST_AUTO_TEST_CASE(a_table_written_by_another_version_of_the_messages_is_read)
+{
+    shard_table table;
+    table.version = 2;
+    table.owners = {{"e", 3, 4}};
+    const auto bytes = encode_table(table);
+    // As the key-value service holds it since the first version; processes come and go.
+    BOOST_TEST(bytes.front() == '\x01');
+    BOOST_TEST((decode_table(bytes).value() == table));
+}
+
 BOOST_AUTO_TEST_CASE(a_length_that_the_bytes_cannot_hold_reserves_nothing)
 {
     cancel_jobs request;
