tests: formatter and linter clean

Change: the comment is wrapped; the test requires that it could bind and listen, and says that connections under way are meant.

Before: exit status 2 at format-check; 2 findings of the linter over all files.

--- a/include/tarragonlock/connection/codec.hpp
+++ b/include/tarragonlock/connection/codec.hpp
@@ -24,8 +24,8 @@
 
 /// Version of the message layout; processes of different layouts drop each other's messages.
 inline constexpr std::uint8_t message_version = 3;
-/// Version of the shard table as the key-value service holds it. It outlives the processes that wrote
-/// it, so it does not change with the messages.
+/// Version of the shard table as the key-value service holds it. It outlives the processes that
+/// wrote it, so it does not change with the messages.
 inline constexpr std::uint8_t table_version = 1;
 /// Longest encoded message, in bytes.
 inline constexpr std::size_t max_message_bytes = 8U << 20U;
--- a/tests/process/task_runner_test.cpp
+++ b/tests/process/task_runner_test.cpp
@@ -26,13 +26,14 @@
         address_.sin_family = AF_INET;
         address_.sin_addr.s_addr = ::htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof(address_);
-        ::bind(listener_, reinterpret_cast<sockaddr*>(&address_), length);
+        BOOST_REQUIRE(::bind(listener_, reinterpret_cast<sockaddr*>(&address_), length) == 0);
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address_), &length);
-        ::listen(listener_, 0);
+        BOOST_REQUIRE(::listen(listener_, 0) == 0);
         for (auto& client : clients_)
         {
             client = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            ::connect(client, reinterpret_cast<sockaddr*>(&address_), length);
+            // They stay under way.
+            static_cast<void>(::connect(client, reinterpret_cast<sockaddr*>(&address_), length));
         }
     }
     ~full_listener()
