request: the head of a pool is found without looking at the others; smaller pieces

Cause, from reading the change once more: finding the head of each pool went through all pools for each of them, on every message that an entry handles; three places put a job's rank together; an agent copied a finished task field by field and asked twice whether it had succeeded; the explorer brought processes back in two loops; speed_estimate::samples() had no caller.

Change: head and last share one look at the pool; a job keeps its rank; the finished task is taken out whole; one bring_back; the dead accessor is gone. Behaviour and assertions are as they were.

--- a/include/tarragonlock/process/speed_estimate.hpp
+++ b/include/tarragonlock/process/speed_estimate.hpp
@@ -19,7 +19,6 @@
 
     /// @return the logarithm of run time over expected time; 0 without samples.
     double log_slowness() const { return slow_; }
-    std::uint32_t samples() const { return samples_; }
 
 private:
     double slow_ = 0.0;
--- a/include/tarragonlock/request/dispatcher.hpp
+++ b/include/tarragonlock/request/dispatcher.hpp
@@ -130,8 +130,8 @@
         std::vector<std::uint32_t> order;
         /// Sum of the waiting tasks' expected run times.
         double waiting_ms = 0.0;
-        /// Place in the queue, see job_rank.
-        double due_ms = 0.0;
+        /// Place in the queue.
+        job_rank rank;
         std::uint32_t unfinished = 0;
         bool any_sent = false;
         bool parked = false;
@@ -149,11 +149,6 @@
     /// Indices of tasks that go out together.
     using batch_map = std::map<batch_key, std::vector<std::uint32_t>>;
 
-    void enqueue(job_handle handle, std::uint32_t tasks);
-    void route(job_state& state);
-    double expect_run_time(const std::string& service, std::uint32_t declared_ms) const;
-    double due(instant now, const job_state& state) const;
-    void learn(const std::string& service, double run_ms);
     /// The task that goes next in a pool, and what agents are told of it.
     struct next_task
     {
@@ -163,6 +158,11 @@
         backlog waiting;
     };
 
+    void enqueue(job_handle handle, std::uint32_t tasks);
+    void route(job_state& state);
+    double expect_run_time(const std::string& service, std::uint32_t declared_ms) const;
+    double due(instant now, const job_state& state) const;
+    void learn(const std::string& service, double run_ms);
     placement_request request_for(instant now, const job_state& state) const;
     placement_request request_for_last(instant now, const job_state& state) const;
     bool wants(const next_task& next, worker_index worker) const;
--- a/include/tarragonlock/request/fair_queue.hpp
+++ b/include/tarragonlock/request/fair_queue.hpp
@@ -112,6 +112,8 @@
 
     team_index account_for(const std::string& team, double weight);
     void advance(team_index team, double cost_ms);
+    /// @return the jobs of the team whose task goes next in a pool, or nullptr when none waits
+    const team_lanes* next_team(pool_index pool) const;
     void take(pool_index pool, team_index team, std::uint32_t tasks);
     void pop(pool_index pool, lane& jobs, lane::iterator job, double cost_ms);
 
--- a/src/process/agent_core.cpp
+++ b/src/process/agent_core.cpp
@@ -305,32 +305,31 @@
     const auto found = running_.find(key_of(finished.job, finished.index));
     if (found == running_.end())
         return;
+    const auto task = std::move(found->second);
+    running_.erase(found);
     auto outcome = finished;
-    const auto ran =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second.started);
+    const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(now - task.started);
     outcome.run_ms = static_cast<std::uint32_t>(ran.count());
-    const auto starter = found->second.owner;
-    const auto began = found->second.started;
-    const auto expected_ms = found->second.expected_ms;
-    --entries_[starter].running;
-    if (const auto team = running_of_team_.find(found->second.team); --team->second == 0)
+    --entries_[task.owner].running;
+    if (const auto team = running_of_team_.find(task.team); --team->second == 0)
         running_of_team_.erase(team);
-    running_.erase(found);
     records_.finish(now, outcome);
     const bool succeeded = outcome.status == task_status::succeeded;
     if (succeeded)
-        speed_.add(outcome.run_ms, expected_ms);
-    if (!succeeded)
+    {
+        speed_.add(outcome.run_ms, task.expected_ms);
+        // Tasks that started before the server began to fail say nothing about it now.
+        if (task.started >= last_failure_)
+            consecutive_failures_ = 0;
+    }
+    else
     {
         ++consecutive_failures_;
         last_failure_ = now;
     }
-    else if (began >= last_failure_)
-        // Tasks that started before the server began to fail say nothing about it now.
-        consecutive_failures_ = 0;
     ++(succeeded ? counters_.tasks_succeeded : counters_.tasks_failed);
     const auto recorded = records_.owner(outcome.job);
-    const auto& owner = recorded.empty() ? starter : recorded;
+    const auto& owner = recorded.empty() ? task.owner : recorded;
     start_queued(now);
     report(now, owner, std::move(outcome));
     offer_slots(now);
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -135,7 +135,7 @@
         state.order.push_back(i);
         state.waiting_ms += task.expected_ms;
     }
-    state.due_ms = due(now, state);
+    state.rank = {due(now, state), handle};
     // The longest go first, so that no long task starts when the others are over.
     std::stable_sort(state.order.begin(), state.order.end(),
                      [&](std::uint32_t a, std::uint32_t b)
@@ -158,8 +158,8 @@
     const auto* team = config_->find_team(state.job.team);
     if (queue_.waiting_of_team(state.job.team) == 0)
         newly_waiting_.insert(state.pool);
-    queue_.push(state.pool, state.job.team, team ? team->weight : 1.0, state.urgency,
-                {state.due_ms, handle}, tasks);
+    queue_.push(state.pool, state.job.team, team ? team->weight : 1.0, state.urgency, state.rank,
+                tasks);
 }
 
 void dispatcher::on_results(instant now, worker_index worker,
@@ -338,7 +338,7 @@
 void dispatcher::finish(instant, job_handle handle, outcome what, reason why)
 {
     auto& state = jobs_.at(handle);
-    queue_.remove(state.pool, state.job.team, {state.due_ms, handle});
+    queue_.remove(state.pool, state.job.team, state.rank);
     answer reply{state.job.id, what, why, {}, 0};
     if (what == outcome::complete)
     {
--- a/src/request/dispatcher_placement.cpp
+++ b/src/request/dispatcher_placement.cpp
@@ -223,7 +223,7 @@
 void dispatcher::park(job_handle handle)
 {
     auto& state = jobs_.at(handle);
-    queue_.remove(state.pool, state.job.team, {state.due_ms, handle});
+    queue_.remove(state.pool, state.job.team, state.rank);
     state.parked = true;
 }
 
--- a/src/request/fair_queue.cpp
+++ b/src/request/fair_queue.cpp
@@ -77,21 +77,28 @@
     return best;
 }
 
+const fair_queue::team_lanes* fair_queue::next_team(pool_index pool) const
+{
+    if (pool >= pools_.size() || pools_[pool].waiting == 0)
+        return nullptr;
+    const auto& queue = pools_[pool];
+    return &queue.teams.at(queue.order.begin()->second);
+}
+
 std::optional<job_handle> fair_queue::head(pool_index pool) const
 {
-    const auto only = next([&](pool_index other) { return other == pool; });
-    if (!only)
+    const auto* team = next_team(pool);
+    if (team == nullptr)
         return std::nullopt;
-    return only->job;
+    return team->lanes.at(team->top_urgency()).begin()->first.job;
 }
 
 std::optional<job_handle> fair_queue::last(pool_index pool) const
 {
-    if (pool >= pools_.size() || pools_[pool].waiting == 0)
+    const auto* team = next_team(pool);
+    if (team == nullptr)
         return std::nullopt;
-    const auto& queue = pools_[pool];
-    const auto& lanes = queue.teams.at(queue.order.begin()->second);
-    return lanes.lanes.at(lanes.least_urgency()).rbegin()->first.job;
+    return team->lanes.at(team->least_urgency()).rbegin()->first.job;
 }
 
 void fair_queue::pop(pool_index pool, double cost_ms)
--- a/tests/fakes/exploration_run.hpp
+++ b/tests/fakes/exploration_run.hpp
@@ -326,17 +326,24 @@
     {
         note("recover");
         fleet_.heal();
+        bring_back(std::nullopt);
+        fleet_.run_for(settle_time);
+    }
+
+    /// Resumes what is paused and restarts what is down.
+    /// @param except  a process that stays down
+    void bring_back(const std::optional<std::string>& except)
+    {
         for (const auto entry : {true, false})
         {
             for (const auto& name : fleet_.names(entry))
             {
                 if (fleet_.is_up(name))
                     fleet_.resume(name);
-                else
+                else if (name != except)
                     fleet_.restart(name);
             }
         }
-        fleet_.run_for(settle_time);
     }
 
     std::mt19937_64 random_;
--- a/tests/fakes/exploration_schedules.cpp
+++ b/tests/fakes/exploration_schedules.cpp
@@ -119,16 +119,7 @@
 void exploration_run::heal_and_settle()
 {
     heal();
-    for (const auto entry : {true, false})
-    {
-        for (const auto& name : fleet_.names(entry))
-        {
-            if (fleet_.is_up(name))
-                fleet_.resume(name);
-            else if (name != late_worker_)
-                fleet_.restart(name);
-        }
-    }
+    bring_back(late_worker_);
     fleet_.run_for(seconds(4));
 }
 
