process: a start names the worker it is for

Cause: a start without answer may be carried out seconds later, when another worker has taken the address. Fence and barred runs of the old one are unknown there, so the run began unseen while the agent was away. Ruled out: the deadline of the order, since a new worker cuts it to its longest lease instead of refusing it; a higher fence, since the agent can tell it only once it is back. Change: the order carries the worker's id, and another worker refuses it.

--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -30,6 +30,9 @@
 struct start_order
 {
     run_key run;
+    /// Id of the worker that is meant; another one at the same address refuses the order. Empty for
+    /// whichever is there.
+    std::string worker;
     std::string spec;
     /// End of the worker's execution lease, on the worker's clock.
     std::int64_t lease_end_ms = 0;
@@ -61,13 +64,14 @@
 enum class start_reply : std::uint8_t
 {
     accepted,
-    no_answer,   ///< may have been carried out, or may be later
-    fenced,      ///< the worker has seen a higher fence
-    superseded,  ///< this run or a higher one was stopped or has ended
-    lease_over,  ///< the lease end had passed
-    no_room,     ///< the worker counts more in use than this agent does
-    not_willing, ///< an unhealthy worker did nothing
-    malformed    ///< the worker does not understand the order
+    no_answer,    ///< may have been carried out, or may be later
+    fenced,       ///< the worker has seen a higher fence
+    superseded,   ///< this run or a higher one was stopped or has ended
+    lease_over,   ///< the lease end had passed
+    no_room,      ///< the worker counts more in use than this agent does
+    not_willing,  ///< an unhealthy worker did nothing
+    other_worker, ///< another worker has taken the address; nothing of the run is there
+    malformed     ///< the worker does not understand the order
 };
 
 enum class stop_reply : std::uint8_t
@@ -152,6 +156,7 @@
     bool raise_fence = true;
     bool stop_withdrawn = true;
     bool check_lease_at_start = true;
+    bool name_worker = true;
 };
 
 /// Bounds that the agent keeps. The defaults fit the stand-ins of the tests.
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -265,7 +265,8 @@
     task.order_fence = fence_;
     const task_id id{task.run.job, task.run.step, task.run.index};
     last_runs_[id] = {task.run.run, now};
-    effects_.emplace_back(start_order{task.run, task.spec, extend_lease(now), fence_});
+    effects_.emplace_back(start_order{task.run, options_.mechanisms.name_worker ? worker_->id : "",
+                                      task.spec, extend_lease(now), fence_});
     renew_if_needed(now);
 }
 
@@ -299,7 +300,8 @@
         return;
     if (task->state == task_state::stopping)
     {
-        if (reply == start_reply::superseded || reply == start_reply::not_willing)
+        if (reply == start_reply::superseded || reply == start_reply::not_willing ||
+            reply == start_reply::other_worker)
             finish(now, tasks_.find({run.job, run.step, run.index}), task_end_kind::stopped);
         return;
     }
@@ -349,6 +351,7 @@
         ++consecutive_failures_;
         break;
     case start_reply::no_room:
+    case start_reply::other_worker:
     case start_reply::malformed:
         log_event(log_level::warn, "start_refused", {{"job", run.job}, {"run", run.run}});
         break;
--- a/tests/explore_leased.cpp
+++ b/tests/explore_leased.cpp
@@ -17,15 +17,16 @@
 
 Usage:
   explore_leased [--seeds N] [--first-seed S] [--without MECHANISM] [--until-found] [--trace]
-                 [--unseen-restarts]
+                 [--unseen-restarts] [--replaced-workers]
 
 Options:
   --seeds N            Schedules to run [default: 100].
   --first-seed S       Seed of the first [default: 1].
   --without MECHANISM  Switch one mechanism off: entry-lease, lease-cap, bar, unknown-runs, fence,
-                       withdrawal, lost-agent-wait, start-check.
+                       withdrawal, lost-agent-wait, start-check, named-worker.
   --until-found        Stop at the first violation.
   --unseen-restarts    Restart workers also while their agent is away.
+  --replaced-workers   Replace workers by others, also while their agent is away.
   --trace              Print what each schedule did.
 
 Exit status: 0 without violations, 1 with.
@@ -47,6 +48,7 @@
     {"fence", [](leased_fleet_options& o) { o.host.raise_fence = false; }},
     {"withdrawal", [](leased_fleet_options& o) { o.host.stop_withdrawn = false; }},
     {"start-check", [](leased_fleet_options& o) { o.host.check_lease_at_start = false; }},
+    {"named-worker", [](leased_fleet_options& o) { o.host.name_worker = false; }},
     {"lost-agent-wait", [](leased_fleet_options& o) { o.wait_for_lost_agents = false; }}};
 
 } // namespace
@@ -64,6 +66,7 @@
         if (arguments["--without"])
             mechanisms.at(arguments["--without"].asString())(options);
         options.unseen_restarts = arguments["--unseen-restarts"].asBool();
+        options.replaced_workers = arguments["--replaced-workers"].asBool();
         if (arguments["--trace"].asBool())
             options.trace = [seed](const std::string& line)
             { std::cout << "seed " << seed << ": " << line << '\n'; };
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -601,13 +601,17 @@
         break;
     }
     default:
-        // A start of the old life that arrives before the agent has spoken to the new one would run
-        // unseen; docs/design/0004-platform.md lists that as open.
+        // A start of the old life that arrives before the agent has spoken to the new one runs
+        // unseen if the worker keeps its id; docs/design/0004-platform.md lists that as open.
         if ((!agents_[agent].alive || agents_[agent].frozen_until > now_) &&
-            !options_.unseen_restarts)
+            !options_.unseen_restarts && !options_.replaced_workers)
             break;
         note("restart the worker of worker-" + std::to_string(agent));
-        agents_[agent].worker->restart(now_);
+        if (options_.replaced_workers)
+            agents_[agent].worker->replace(now_, "worker-" + std::to_string(agent) + "-" +
+                                                     std::to_string(result_.faults));
+        else
+            agents_[agent].worker->restart(now_);
         // The long poll breaks, and the worker announces itself before it serves.
         call(agents_[agent],
              [this, agent, said = agents_[agent].worker->announcement(now_),
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -68,6 +68,8 @@
     bool wait_for_lost_agents = true;
     /// Whether workers also restart while their agent is suspended or gone.
     bool unseen_restarts = false;
+    /// Whether workers are replaced by others instead of restarted, also while their agent is away.
+    bool replaced_workers = false;
     /// Receives a line for each submission, start, end and fault.
     std::function<void(const std::string&)> trace;
 };
--- a/tests/fakes/virtual_worker.cpp
+++ b/tests/fakes/virtual_worker.cpp
@@ -27,6 +27,12 @@
 {
 }
 
+void virtual_worker::replace(instant now, const std::string& id)
+{
+    restart(now);
+    settings_.id = id;
+}
+
 void virtual_worker::restart(instant now)
 {
     while (!active_.empty())
@@ -72,6 +78,8 @@
                                                            duration work, bool fails)
 {
     const auto read = clock(now);
+    if (!order.worker.empty() && order.worker != settings_.id)
+        return {start_reply::other_worker, read};
     if (order.fence < highest_fence_)
         return {start_reply::fenced, read};
     highest_fence_ = order.fence;
--- a/tests/fakes/virtual_worker.hpp
+++ b/tests/fakes/virtual_worker.hpp
@@ -43,6 +43,8 @@
 
     /// Begins a new life, in which nothing of the old one is known.
     void restart(instant now);
+    /// Another worker takes the address.
+    void replace(instant now, const std::string& id);
     worker_announcement announcement(instant now);
     std::pair<start_reply, std::int64_t> start(instant now, const start_order& order, duration work,
                                                bool fails);
--- a/tests/process/leased_fleet_test.py
+++ b/tests/process/leased_fleet_test.py
@@ -126,6 +126,7 @@
     expect(call(fleet.entry(0), "POST", path, body) == (200, {"state": "completed"}),
            "a job is complete")
     starts = [t for w in fleet.workers for t in w.starts]
+    expect(all(w.misdirected == 0 for w in fleet.workers), "each start names the worker it is for")
     expect(sorted(starts) == [f"{1:016x}.0.0.{i}" for i in range(6)], "each task ran once")
     path, body = job(2, tasks=1, how="failed")
     expect(call(fleet.entry(1), "POST", path, body) == (200, {"state": "failed"}),
--- a/tests/standins/platform_standins.py
+++ b/tests/standins/platform_standins.py
@@ -154,6 +154,7 @@
         self.starts = []
         self.most_cpu = 0
         self.lose_answers = 0
+        self.misdirected = 0
         self.sequence = 0
         self.state = "ready"
 
@@ -197,7 +198,11 @@
     def do_POST(self):
         body = self.body()
         worker = self.server
+        meant = self.headers.get("X-Tarragonlock-Expect-Instance")
         with worker.changed:
+            if self.path == "/-/run-start" and meant != worker.name:
+                worker.misdirected += 1
+                return self.answer(421, {"clock_ms": worker.clock()})
             worker.fence = max(worker.fence, body["fence"])
             reply = {"clock_ms": worker.clock()}
             if body["fence"] < worker.fence:
