process: runs that stand still are stopped; a worker is judged by runs of several jobs

Each entry tried an ejected worker every 500 ms with whatever job came. Ruled out: a bound on the run time, since declared times are 40% off and slow workers five times as slow; it would have found a long task only after its goal. Change: workers list the share of work done; a run that does not advance by a percent in 100 ms, or a fifth of its declared time, of the worker's own clock is stopped and goes elsewhere. worker_health decides at the agent: runs of three jobs that fail in a row make the worker rest, then it gets one task at a time, and only from jobs that would still be in time elsewhere. Frame version 2.

--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -36,6 +36,17 @@
     friend bool operator==(const worker_description&, const worker_description&) = default;
 };
 
+/// What an agent thinks of its worker.
+enum class worker_condition : std::uint8_t
+{
+    sound,
+    on_trial, ///< has failed of late, and gets one task at a time
+    resting   ///< has failed of late, and gets nothing for a while
+};
+
+/// @return the name that logs use.
+const char* to_string(worker_condition value);
+
 /// Load of a worker, and a request to extend the entry's lease on its tasks there.
 struct agent_report
 {
@@ -50,8 +61,7 @@
     std::uint32_t mean_run_ms = 0;
     /// Run times here over declared ones, in thousandths.
     std::uint32_t slowness_millis = 1000;
-    /// Runs in a row that failed or had to be given up.
-    std::uint32_t consecutive_failures = 0;
+    worker_condition condition = worker_condition::sound;
     friend bool operator==(const agent_report&, const agent_report&) = default;
 };
 
--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -163,7 +163,6 @@
         /// Placements that the last report does not include yet.
         std::deque<placement_in_flight> in_flight;
         std::uint32_t tasks = 0;
-        instant next_trial;
     };
 
     using job_map = std::map<std::string, std::unique_ptr<job>, std::less<>>;
@@ -180,7 +179,9 @@
 
     std::vector<std::uint32_t> unplaced_tasks(const job& work, std::uint32_t step) const;
     bool step_ready(const job& work, const job_step& step) const;
-    std::vector<worker_forecast> forecasts(instant now) const;
+    std::vector<worker_forecast> forecasts() const;
+    /// @return how many more tasks may go to a worker, as far as its condition says.
+    static std::uint32_t open_tasks(const agent& known);
     std::vector<worker_forecast> eligible(const std::vector<worker_forecast>& all, const job& work,
                                           std::uint32_t step) const;
     duration latest_run_time(const job& work) const;
@@ -191,7 +192,7 @@
     void dispatch(instant now);
     /// @return whether nothing of the job waits any more.
     bool place(instant now, job& work, std::vector<worker_forecast>& workers, double busy);
-    void send_placements(instant now, job& work, std::uint32_t step,
+    void send_placements(job& work, std::uint32_t step,
                          const std::map<channel_id, std::vector<std::uint32_t>>& chosen);
     void record(instant now, const job& work, leased_outcome what);
     bool has_worker_for(const leased_job_request& request, const queue_rule& rule) const;
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -2,6 +2,7 @@
 
 #include "tarragonlock/common/time.hpp"
 #include "tarragonlock/connection/lease_message.hpp"
+#include "tarragonlock/process/worker_health.hpp"
 #include "tarragonlock/request/leased_job.hpp"
 
 #include <cstdint>
@@ -98,6 +99,14 @@
     run_end_kind kind = run_end_kind::other;
 };
 
+/// A run that is at work.
+struct listed_run
+{
+    run_key run;
+    /// Share of its work that is done.
+    std::uint32_t percent = 0;
+};
+
 /// A worker's answer to renew_order.
 struct run_listing
 {
@@ -105,7 +114,7 @@
     std::int64_t clock_ms = 0;
     /// Unix time at which this life of the worker began, in milliseconds; 0 when not told.
     std::int64_t lifetime = 0;
-    std::vector<run_key> running;
+    std::vector<listed_run> running;
     std::vector<run_end> ended;
 };
 
@@ -157,6 +166,7 @@
     bool stop_withdrawn = true;
     bool check_lease_at_start = true;
     bool name_worker = true;
+    bool stop_stalled_runs = true;
 };
 
 /// Bounds that the agent keeps. The defaults fit the stand-ins of the tests.
@@ -183,6 +193,7 @@
     std::uint64_t failed = 0;
     std::uint64_t returned = 0;
     std::uint64_t stopped = 0;
+    std::uint64_t stalled = 0;
     std::uint64_t unanswered_starts = 0;
     std::uint64_t leases_over = 0;
 };
@@ -253,6 +264,9 @@
         /// Whether the worker answered the present order, and when.
         bool answered = false;
         instant answered_at;
+        /// Share of its work that was done when it last advanced, and the worker's clock then.
+        std::uint32_t percent = 0;
+        std::int64_t advanced_ms = 0;
         /// Worker's lease may not reach beyond this, because another entry may run the task then.
         instant must_end_by = instant::max();
         /// Whether the entry still wants to hear of the end.
@@ -293,14 +307,18 @@
     void lose_worker_runs(instant now);
     void begin_worker_life();
     void report(instant now, channel_id channel, entry_channel& entry);
-    agent_report load_report(const entry_channel& entry) const;
+    agent_report load_report(instant now, const entry_channel& entry) const;
     void describe_if_changed(instant now);
     duration busy_report_interval() const;
+    bool may_start(instant now) const;
     bool lease_is_fresh(instant now, channel_id channel) const;
     void learn_duration(const hosted_task& task, instant now);
     /// @param asked  when the listing was asked for
     void reconcile(instant now, instant asked, const run_listing& listing);
     void take_end(instant now, const run_end& end);
+    /// Stops a run that has not advanced for too long.
+    void watch_progress(instant now, hosted_task& task, std::uint32_t percent,
+                        std::int64_t clock_ms);
     bool accepting(instant now) const;
     worker_description description(instant now) const;
     bool anything_ordered() const;
@@ -320,6 +338,7 @@
     resource_amount free_;
     resource_amount told_free_;
     std::size_t told_waiting_ = 0;
+    worker_condition told_condition_ = worker_condition::sound;
     instant load_told_;
     std::optional<worker_announcement> worker_;
     instant announced_;
@@ -348,7 +367,7 @@
     double run_ms_ = 200.0;
     double actual_ms_ = 0.0;
     double declared_ms_ = 0.0;
-    std::uint32_t consecutive_failures_ = 0;
+    worker_health health_;
     configuration_copy configuration_;
     std::vector<host_effect> effects_;
     task_host_counters counters_;
--- a/include/tarragonlock/request/worker_forecast.hpp
+++ b/include/tarragonlock/request/worker_forecast.hpp
@@ -29,6 +29,8 @@
     duration distance{};
     /// Most tasks that may still be placed here.
     std::uint32_t open_tasks = 0;
+    /// Whether its last runs failed, so that the next one may stand still too.
+    bool on_trial = false;
 
     /// @return the expected run time of a task that is declared to take this long.
     duration run_time(duration declared) const
@@ -74,6 +76,9 @@
 
 /// Chooses a worker with room for one task.
 ///
+/// A worker on trial is used only for what would still be in time elsewhere if it stands still
+/// there.
+///
 /// Load pattern: uneven workers, mixed long and short tasks. While much of the fleet is free a task
 /// goes where it ends first. The busier the fleet, the more a task leaves the fast workers to those
 /// that need them, and takes the slowest one that still ends in time. A worker that ends in time
--- a/src/connection/lease_codec.cpp
+++ b/src/connection/lease_codec.cpp
@@ -9,7 +9,7 @@
 {
 
 /// Version of the frames between entries and agents of leased jobs.
-constexpr std::uint8_t lease_frame_version = 1;
+constexpr std::uint8_t lease_frame_version = 2;
 /// Longest frame; a configuration of a megabyte fits.
 constexpr std::size_t max_frame_bytes = 4U << 20U;
 
@@ -18,6 +18,11 @@
     return {value, task_end_kind::stopped};
 }
 
+checked_enum<worker_condition> checked(worker_condition& value)
+{
+    return {value, worker_condition::resting};
+}
+
 } // namespace
 
 // Field lists, one a type, in the order of declaration. lease_frame_version changes with any.
@@ -32,7 +37,7 @@
 TARRAGONLOCK_FIELDS(agent_hello, v.name, v.incarnation)
 TARRAGONLOCK_FIELDS(worker_description, v.accepting, v.failure_domain, v.labels, v.capacity)
 TARRAGONLOCK_FIELDS(agent_report, v.stamp, v.placements_seen, v.free, v.queued_cpu, v.mean_run_ms,
-                    v.slowness_millis, v.consecutive_failures)
+                    v.slowness_millis, checked(v.condition))
 TARRAGONLOCK_FIELDS(lease_echo, v.stamp)
 TARRAGONLOCK_FIELDS(placed_task, v.index, v.attempt)
 TARRAGONLOCK_FIELDS(place_tasks, v.job, v.spec, v.step, v.demand, v.estimate_ms, v.priority,
@@ -43,6 +48,20 @@
 
 #undef TARRAGONLOCK_FIELDS
 
+const char* to_string(worker_condition value)
+{
+    switch (value)
+    {
+    case worker_condition::sound:
+        return "sound";
+    case worker_condition::on_trial:
+        return "on_trial";
+    case worker_condition::resting:
+        return "resting";
+    }
+    return "unknown";
+}
+
 result<std::string> encode_frame(const lease_frame& frame)
 {
     auto bytes = encode_value(frame, lease_frame_version);
--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -268,6 +268,7 @@
            counter_text("tasks_failed_total", counts.failed) +
            counter_text("tasks_returned_total", counts.returned) +
            counter_text("tasks_stopped_total", counts.stopped) +
+           counter_text("tasks_stalled_total", counts.stalled) +
            counter_text("starts_unanswered_total", counts.unanswered_starts) +
            counter_text("entry_leases_over_total", counts.leases_over) +
            counter_text("malformed_announcements_total", malformed_announcements_) +
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -149,8 +149,6 @@
     --known.tasks;
     if (end.kind != task_end_kind::not_started)
         known.load.free += work.request.steps[end.step].demand;
-    if (end.kind == task_end_kind::failed)
-        ++known.load.consecutive_failures;
     room_changed_ = true;
     take_end(now, found, task, end.kind);
 }
@@ -410,7 +408,7 @@
     if (!work.rank || !work.rank->late || work.may_have_started())
         return;
     // Room on a worker that is too slow for it is better than none.
-    auto workers = forecasts(now);
+    auto workers = forecasts();
     place(now, work, workers, busy_share(workers));
     if (!work.may_have_started())
         answer(now, found,
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -11,9 +11,6 @@
 
 using std::chrono::milliseconds;
 
-/// Failures in a row after which a worker gets one task a trial interval.
-constexpr std::uint32_t failures_to_eject = 3;
-constexpr auto trial_interval = milliseconds(500);
 /// Cost of leaving the entry's failure domain, for the time and bytes on the way.
 constexpr auto domain_distance = milliseconds(4);
 /// A task that another entry's task has overtaken waits at the agent for this long, about the time
@@ -70,7 +67,21 @@
                        });
 }
 
-std::vector<worker_forecast> leased_dispatcher::forecasts(instant now) const
+std::uint32_t leased_dispatcher::open_tasks(const agent& known)
+{
+    switch (known.load.condition)
+    {
+    case worker_condition::sound:
+        return std::numeric_limits<std::uint32_t>::max();
+    case worker_condition::on_trial:
+        return known.tasks == 0 ? 1 : 0;
+    case worker_condition::resting:
+        break;
+    }
+    return 0;
+}
+
+std::vector<worker_forecast> leased_dispatcher::forecasts() const
 {
     std::vector<worker_forecast> found;
     found.reserve(agents_.size());
@@ -91,9 +102,8 @@
         forecast.slowness = known.load.slowness_millis / 1000.0;
         if (known.worker.failure_domain != options_.failure_domain)
             forecast.distance = domain_distance;
-        forecast.open_tasks = std::numeric_limits<std::uint32_t>::max();
-        if (known.load.consecutive_failures >= failures_to_eject)
-            forecast.open_tasks = now < known.next_trial ? 0 : 1;
+        forecast.on_trial = known.load.condition == worker_condition::on_trial;
+        forecast.open_tasks = open_tasks(known);
         found.push_back(forecast);
     }
     return found;
@@ -185,7 +195,7 @@
 {
     if (waiting_.empty())
         return;
-    auto workers = forecasts(now);
+    auto workers = forecasts();
     const auto busy = busy_share(workers);
     std::vector<std::string> order;
     order.reserve(waiting_.size());
@@ -239,7 +249,7 @@
             }
         }
         placed_any = placed_any || !chosen.empty();
-        send_placements(now, work, step, chosen);
+        send_placements(work, step, chosen);
     }
     if (placed_any)
         enqueue(now, work);
@@ -247,8 +257,7 @@
 }
 
 void leased_dispatcher::send_placements(
-    instant now, job& work, std::uint32_t step,
-    const std::map<channel_id, std::vector<std::uint32_t>>& chosen)
+    job& work, std::uint32_t step, const std::map<channel_id, std::vector<std::uint32_t>>& chosen)
 {
     const auto& wanted = work.request.steps[step];
     for (const auto& [channel, tasks] : chosen)
@@ -259,8 +268,6 @@
         known.tasks += count;
         work.exposed_tasks += count;
         known.in_flight.push_back({++known.placements_sent, wanted.demand, count});
-        if (known.load.consecutive_failures >= failures_to_eject)
-            known.next_trial = now + trial_interval;
         place_tasks request;
         request.job = work.request.id;
         request.spec = work.request.spec;
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -218,7 +218,7 @@
 {
     if (!accepting(now) || !worker_known_ || now < unwilling_until_)
         return;
-    while (true)
+    while (may_start(now))
     {
         hosted_task* best = nullptr;
         for (auto& [id, task] : tasks_)
@@ -238,6 +238,21 @@
     }
 }
 
+/// @return whether the worker's condition allows a further run.
+bool task_host::may_start(instant now) const
+{
+    switch (health_.condition(now))
+    {
+    case worker_condition::sound:
+        return true;
+    case worker_condition::on_trial:
+        return !anything_ordered();
+    case worker_condition::resting:
+        break;
+    }
+    return false;
+}
+
 /// After a suspension, placements of an entry that has given this agent up may still lie in the
 /// socket; they are started only when the entry has been heard since.
 bool task_host::lease_is_fresh(instant now, channel_id channel) const
@@ -262,6 +277,7 @@
     task.answered = false;
     task.order_sent = now;
     task.started = now;
+    task.percent = 0;
     task.order_fence = fence_;
     const task_id id{task.run.job, task.run.step, task.run.index};
     last_runs_[id] = {task.run.run, now};
@@ -311,6 +327,7 @@
     {
     case start_reply::accepted:
         task->state = task_state::running;
+        task->advanced_ms = clock_ms;
         task->answered = true;
         task->answered_at = now;
         return;
@@ -348,7 +365,7 @@
         break;
     case start_reply::not_willing:
         unwilling_until_ = now + unwilling_pause;
-        ++consecutive_failures_;
+        health_.on_failure(now, run.job);
         break;
     case start_reply::no_room:
     case start_reply::other_worker:
@@ -411,18 +428,25 @@
     if (now - load_told_ < load_interval)
         return;
     const auto queued = waiting();
-    if (free_ == told_free_ && queued == told_waiting_)
+    const auto condition = health_.condition(now);
+    if (free_ == told_free_ && queued == told_waiting_ && condition == told_condition_)
         return;
     load_told_ = now;
     told_free_ = free_;
     told_waiting_ = queued;
+    if (const auto before = std::exchange(told_condition_, condition); before != condition)
+        log_event(log_level::info, "worker_condition",
+                  {{"worker", worker_ ? worker_->id : std::string()},
+                   {"condition", to_string(condition)}});
     for (auto& [channel, entry] : entries_)
-        effects_.emplace_back(to_entry{channel, load_report(entry)});
+        effects_.emplace_back(to_entry{channel, load_report(now, entry)});
 }
 
 void task_host::on_tick(instant now)
 {
     expire_entries(now);
+    if (health_.condition(now) == worker_condition::resting)
+        return_waiting(now);
     for (auto task = tasks_.begin(); task != tasks_.end();)
     {
         if (task->second.state == task_state::waiting && task->second.start_by < now)
@@ -491,12 +515,12 @@
 void task_host::report(instant now, channel_id channel, entry_channel& entry)
 {
     entry.report_sent = now;
-    auto report = load_report(entry);
+    auto report = load_report(now, entry);
     report.stamp = static_cast<std::uint64_t>(now.time_since_epoch().count());
     effects_.emplace_back(to_entry{channel, report});
 }
 
-agent_report task_host::load_report(const entry_channel& entry) const
+agent_report task_host::load_report(instant now, const entry_channel& entry) const
 {
     agent_report report;
     report.placements_seen = entry.placements_seen;
@@ -511,7 +535,7 @@
     if (declared_ms_ > 0.0)
         report.slowness_millis =
             static_cast<std::uint32_t>(std::clamp(actual_ms_ / declared_ms_, 0.1, 20.0) * 1000.0);
-    report.consecutive_failures = consecutive_failures_;
+    report.condition = health_.condition(now);
     return report;
 }
 
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -26,6 +26,12 @@
 /// A renewal that waits for an end this long is joined by another one, because its answer may be
 /// lost; several times the usual time between two ends on a busy worker.
 constexpr auto renewal_hedge = milliseconds(40);
+/// A run that does not advance by one percent in this time stands still; several times the usual
+/// time between two listings.
+constexpr auto shortest_stall = milliseconds(100);
+/// The same as a share of the declared run time: even a worker that is ten times as slow as
+/// declared advances by two percent.
+constexpr double stall_share = 0.2;
 /// Most renewals under way at once.
 constexpr std::size_t max_renewals = 4;
 
@@ -74,7 +80,7 @@
 {
     ends_seen_ = 0;
     ends_confirmed_ = 0;
-    consecutive_failures_ = 0;
+    health_.reset();
     worker_known_ = false;
     strangers_.clear();
     // Starts ordered in the last life may still arrive; a higher fence stops them, once the worker
@@ -204,9 +210,10 @@
         ends_seen_ = end.number;
         take_end(now, end);
     }
-    const std::set<run_key> running(listing.running.begin(), listing.running.end());
-    for (const auto& run : running)
+    std::set<run_key> running;
+    for (const auto& [run, percent] : listing.running)
     {
+        running.insert(run);
         auto* task = find(run);
         if (task == nullptr)
         {
@@ -221,7 +228,10 @@
             task->state = task_state::running;
             task->answered = true;
             task->answered_at = now;
+            task->advanced_ms = listing.clock_ms;
         }
+        else if (task->state == task_state::running)
+            watch_progress(now, *task, percent, listing.clock_ms);
     }
     std::erase_if(strangers_, [&](const auto& item) { return !running.contains(item.first); });
     for (auto task = tasks_.begin(); task != tasks_.end();)
@@ -234,6 +244,34 @@
     worker_known_ = strangers_.empty();
 }
 
+void task_host::watch_progress(instant now, hosted_task& task, std::uint32_t percent,
+                               std::int64_t clock_ms)
+{
+    if (percent > task.percent)
+    {
+        task.percent = percent;
+        task.advanced_ms = clock_ms;
+        return;
+    }
+    // Both readings are the worker's, so answers that come late do not count as a stall.
+    const auto still_ms = clock_ms - task.advanced_ms;
+    const auto allowed_ms =
+        std::max(shortest_stall.count(),
+                 static_cast<std::int64_t>(stall_share * static_cast<double>(task.estimate_ms)));
+    if (!options_.mechanisms.stop_stalled_runs || still_ms < allowed_ms)
+        return;
+    ++counters_.stalled;
+    health_.on_failure(now, task.run.job);
+    log_event(log_level::info, "run_stalled",
+              {{"job", task.run.job},
+               {"task", task.run.index},
+               {"run", task.run.run},
+               {"percent", task.percent},
+               {"still_ms", still_ms},
+               {"estimate_ms", task.estimate_ms}});
+    order_stop(now, task);
+}
+
 void task_host::take_end(instant now, const run_end& end)
 {
     strangers_.erase(end.run);
@@ -243,11 +281,11 @@
     switch (end.kind)
     {
     case run_end_kind::done:
-        consecutive_failures_ = 0;
+        health_.on_done();
         finish(now, task, task_end_kind::done);
         return;
     case run_end_kind::failed:
-        ++consecutive_failures_;
+        health_.on_failure(now, end.run.job);
         finish(now, task, task_end_kind::failed);
         return;
     case run_end_kind::stopped:
--- a/src/request/worker_forecast.cpp
+++ b/src/request/worker_forecast.cpp
@@ -26,6 +26,15 @@
     late
 };
 
+/// Time after which a run that stands still has been found and ended; agents allow 100 ms or a
+/// fifth of the declared run time, and a stop takes 50 ms.
+duration stall_cost(duration declared)
+{
+    constexpr duration shortest_stall = std::chrono::milliseconds(100);
+    constexpr duration stop_time = std::chrono::milliseconds(50);
+    return std::max(shortest_stall, declared / 5) + stop_time;
+}
+
 /// @param slowness  of the worker
 /// @param factor    real run time over the declared one
 bool in_time(double slowness, const placement_request& request, double factor)
@@ -35,8 +44,10 @@
            work * request.stretch + request.objective;
 }
 
-punctuality punctuality_of(const worker_forecast& worker, const placement_request& request)
+punctuality punctuality_of(const worker_forecast& worker, placement_request request)
 {
+    if (worker.on_trial)
+        request.waited += stall_cost(request.declared);
     if (!in_time(worker.slowness, request, 1.0))
         return punctuality::late;
     const auto slowness = worker.slowness * slowness_error;
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -652,6 +652,9 @@
     next_jobs_.assign(options_.traffic.size(), now_ + std::chrono::seconds(2));
     for (std::size_t i = 0; i < options_.lost_agents; ++i)
         at(options_.lost_at, [this, i] { agents_[i].frozen_until = instant::max(); });
+    for (std::size_t i = 0; i < options_.stalled_workers; ++i)
+        at(options_.stalled_at,
+           [this, i] { agents_[i].worker->stand_still(now_ + options_.stalled_for); });
     const auto finish = begin + options_.length;
     while (now_ < finish)
     {
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -64,6 +64,10 @@
     /// Agents that fall silent for good, as if their hosts lost power, and when.
     std::size_t lost_agents = 0;
     duration lost_at{};
+    /// Workers on which everything stands still for a while.
+    std::size_t stalled_workers = 0;
+    duration stalled_at{};
+    duration stalled_for{};
     task_host_mechanisms host;
     bool wait_for_lost_agents = true;
     /// Whether workers also restart while their agent is suspended or gone.
--- a/tests/fakes/virtual_worker.cpp
+++ b/tests/fakes/virtual_worker.cpp
@@ -109,8 +109,8 @@
     ledger_.started_jobs.insert(order.run.job);
     const std::chrono::duration<double, std::micro> takes(static_cast<double>(work.count()) /
                                                           settings_.speed);
-    active_[order.run] = {task_demand, now + std::chrono::duration_cast<duration>(takes), fails,
-                          false};
+    const auto length = std::chrono::duration_cast<duration>(takes);
+    active_[order.run] = {task_demand, length, now + length, fails, false};
     return {start_reply::accepted, read};
 }
 
@@ -141,7 +141,12 @@
     said.clock_ms = clock(now);
     said.lifetime = lifetime_;
     for (const auto& [run, active] : active_)
-        said.running.push_back(run);
+    {
+        const auto left = std::max(active.end - now, duration(0));
+        const auto share = 1.0 - static_cast<double>(left.count()) /
+                                     static_cast<double>(std::max(active.work, left).count());
+        said.running.push_back({run, static_cast<std::uint32_t>(100.0 * share)});
+    }
     said.ended = ended_;
     return said;
 }
@@ -160,6 +165,15 @@
 
 void virtual_worker::on_tick(instant now)
 {
+    const auto passed = now - std::exchange(ticked_, now);
+    if (now < still_until_)
+    {
+        for (auto& [run, active] : active_)
+        {
+            if (!active.stopping)
+                active.end += passed;
+        }
+    }
     const bool lapsed = !active_.empty() && clock(now) >= lease_end_ms_;
     for (auto run = active_.begin(); run != active_.end();)
     {
--- a/tests/fakes/virtual_worker.hpp
+++ b/tests/fakes/virtual_worker.hpp
@@ -50,6 +50,8 @@
                                                bool fails);
     stop_reply stop(instant now, const stop_order& order);
     run_listing listing(instant now, const renew_order& order);
+    /// Lets what runs stand still until then.
+    void stand_still(instant until) { still_until_ = until; }
     /// Ends what is over; to be called every millisecond.
     void on_tick(instant now);
     /// @return whether ends are listed that the agent has not confirmed.
@@ -59,6 +61,7 @@
     struct active_run
     {
         resource_amount demand;
+        duration work;
         instant end;
         bool fails = false;
         bool stopping = false;
@@ -71,6 +74,8 @@
     options settings_;
     run_ledger& ledger_;
     instant born_;
+    instant ticked_;
+    instant still_until_;
     std::int64_t lifetime_ = 0;
     std::uint64_t sequence_ = 0;
     std::uint64_t highest_fence_ = 0;
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -69,7 +69,7 @@
         for (const auto& order : std::exchange(renewals, {}))
         {
             auto said = listing;
-            said.clock_ms = 5000;
+            said.clock_ms = std::max<std::int64_t>(said.clock_ms, 5000);
             said.lifetime = lifetime;
             host->on_listing(now, order.number, said);
         }
@@ -131,7 +131,7 @@
     f.now += milliseconds(100);
     f.host->on_tick(f.now);
     run_listing listing;
-    listing.running = {f.starts[1].run};
+    listing.running = {{f.starts[1].run}};
     listing.ended = {{1, f.starts[0].run, run_end_kind::done}};
     f.answer_renewals(listing);
     BOOST_TEST(f.starts.size() == 3U);
@@ -170,7 +170,7 @@
     f.now += milliseconds(50);
     f.host->on_tick(f.now);
     run_listing listing;
-    listing.running = {f.starts[1].run};
+    listing.running = {{f.starts[1].run}};
     listing.ended = {{1, f.starts[0].run, run_end_kind::done}};
     f.answer_renewals(listing);
     BOOST_REQUIRE_EQUAL(f.starts.size(), 3U);
@@ -255,7 +255,7 @@
     BOOST_REQUIRE(!f.renewals.empty());
     BOOST_TEST(f.renewals.back().fence > f.starts[0].fence);
     run_listing listing;
-    listing.running = {f.starts[1].run};
+    listing.running = {{f.starts[1].run}};
     f.answer_renewals(listing);
     BOOST_REQUIRE_EQUAL(f.ends.size(), 1U);
     BOOST_TEST(f.ends[0].index == f.starts[0].run.index);
@@ -269,7 +269,7 @@
     f.now += milliseconds(10);
     f.host->on_announcement(f.now, f.announcement(f.lifetime));
     run_listing listing;
-    listing.running = {{"unknown", 0, 0, 4}};
+    listing.running = {{{"unknown", 0, 0, 4}}};
     f.answer_renewals(listing);
     BOOST_REQUIRE_EQUAL(f.stops.size(), 1U);
     f.place(entry_a, "one");
@@ -316,4 +316,68 @@
     BOOST_TEST(f.starts.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_run_that_stands_still_is_stopped)
+{
+    fixture f;
+    f.place(entry_a, "stuck");
+    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::accepted, 5000);
+    const auto list = [&](std::int64_t clock_ms, std::uint32_t percent)
+    {
+        f.pass(milliseconds(50), {entry_a, entry_b});
+        run_listing listing;
+        listing.clock_ms = clock_ms;
+        listing.running = {{f.starts[0].run, percent}};
+        f.answer_renewals(listing);
+    };
+    list(5050, 20);
+    list(5140, 20);
+    BOOST_TEST(f.stops.empty());
+    list(5149, 21);
+    list(5240, 21);
+    BOOST_TEST(f.stops.empty());
+    list(5249, 21);
+    BOOST_REQUIRE(!f.stops.empty());
+    BOOST_TEST((f.stops[0].run == f.starts[0].run));
+    BOOST_TEST(f.host->counters().stalled == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_listing_that_comes_late_is_no_sign_of_a_stall)
+{
+    fixture f;
+    f.place(entry_a, "one");
+    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::accepted, 5000);
+    f.pass(milliseconds(400), {entry_a, entry_b});
+    run_listing listing;
+    listing.clock_ms = 5040;
+    listing.running = {{f.starts[0].run, 0}};
+    f.answer_renewals(listing);
+    BOOST_TEST(f.stops.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_on_which_everything_stands_still_gets_one_task_at_a_time)
+{
+    fixture f;
+    for (const auto* job : {"a", "b", "c"})
+    {
+        f.place(entry_a, job);
+        const auto run = f.starts.back().run;
+        f.host->on_start_reply(f.now, run, start_reply::accepted, 5000);
+        f.pass(milliseconds(20), {entry_a, entry_b});
+        run_listing listing;
+        listing.clock_ms = 5200;
+        listing.running = {{run, 0}};
+        f.answer_renewals(listing);
+        listing.running.clear();
+        listing.ended = {{f.starts.size(), run, run_end_kind::stopped}};
+        f.answer_renewals(listing);
+    }
+    const auto before = f.starts.size();
+    BOOST_TEST(before == 3U);
+    f.place(entry_a, "d");
+    BOOST_TEST(f.starts.size() == before);
+    f.pass(milliseconds(600), {entry_a, entry_b});
+    f.place(entry_a, "e", 2);
+    BOOST_TEST(f.starts.size() == before + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/process/worker_health_test.cpp
@@ -0,0 +1,58 @@
+#include "tarragonlock/process/worker_health.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tarragonlock;
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(worker_health_tests)
+
+BOOST_AUTO_TEST_CASE(one_job_that_always_fails_says_nothing_about_the_worker)
+{
+    worker_health health;
+    const instant now{std::chrono::hours(1)};
+    for (int i = 0; i < 10; ++i)
+        health.on_failure(now, "poison");
+    BOOST_TEST((health.condition(now) == worker_condition::sound));
+}
+
+BOOST_AUTO_TEST_CASE(failures_of_several_jobs_in_a_row_make_the_worker_rest)
+{
+    worker_health health;
+    instant now{std::chrono::hours(1)};
+    for (const auto* job : {"a", "b", "c", "d"})
+        health.on_failure(now, job);
+    BOOST_TEST((health.condition(now) == worker_condition::resting));
+    now += milliseconds(500);
+    BOOST_TEST((health.condition(now) == worker_condition::on_trial));
+    health.on_done();
+    BOOST_TEST((health.condition(now) == worker_condition::sound));
+}
+
+BOOST_AUTO_TEST_CASE(a_run_that_is_done_between_failures_clears_them)
+{
+    worker_health health;
+    const instant now{std::chrono::hours(1)};
+    health.on_failure(now, "a");
+    health.on_failure(now, "b");
+    health.on_done();
+    health.on_failure(now, "c");
+    BOOST_TEST((health.condition(now) == worker_condition::sound));
+}
+
+BOOST_AUTO_TEST_CASE(a_trial_that_fails_doubles_the_rest_up_to_two_seconds)
+{
+    worker_health health;
+    instant now{std::chrono::hours(1)};
+    for (const auto* job : {"a", "b", "c"})
+        health.on_failure(now, job);
+    for (const auto rest : {500, 1000, 2000, 2000})
+    {
+        BOOST_TEST((health.condition(now + milliseconds(rest - 1)) == worker_condition::resting));
+        now += milliseconds(rest);
+        BOOST_TEST((health.condition(now) == worker_condition::on_trial));
+        health.on_failure(now, "trial");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/request/overload_test.cpp
+++ b/tests/request/overload_test.cpp
@@ -99,6 +99,37 @@
         (result.queues["hold"].latest_refusal <= std::chrono::milliseconds(200 * 224 / 100 + 100)));
 }
 
+/// Three of eleven workers stand still for five seconds, over several seeds.
+std::map<std::string, fakes::queue_result> play_stalls(bool stop_stalled_runs)
+{
+    std::map<std::string, fakes::queue_result> total;
+    for (std::uint64_t seed = 1; seed <= 4; ++seed)
+    {
+        auto options = fleet();
+        options.seed = seed;
+        options.stalled_workers = 3;
+        options.stalled_at = seconds(8);
+        options.stalled_for = seconds(5);
+        options.host.stop_stalled_runs = stop_stalled_runs;
+        for (const auto& [name, queue] : play(options).queues)
+        {
+            total[name].jobs += queue.jobs;
+            total[name].in_time += queue.in_time;
+        }
+    }
+    return total;
+}
+
+BOOST_AUTO_TEST_CASE(jobs_go_on_elsewhere_when_workers_stand_still)
+{
+    auto with = play_stalls(true);
+    auto without = play_stalls(false);
+    for (const auto& [name, queue] : with)
+        BOOST_TEST(queue.in_time_share() >= urgent_share, name);
+    BOOST_TEST(with["lookup"].in_time_share() > without["lookup"].in_time_share());
+    BOOST_TEST(with["hold"].in_time_share() >= without["hold"].in_time_share());
+}
+
 BOOST_AUTO_TEST_CASE(both_floods_with_a_third_of_the_workers_lost)
 {
     auto options = fleet();
