version: readings of the store overlap

Ruled out: shorter call timeouts, since a slow store answers in a quarter of a second and more; agents' copies of the configuration, since all of them had restarted too. Change: a reading without answer for 400 ms is joined by another one, five at most; the first to end counts.

--- a/include/tarragonlock/version/loop_store_client.hpp
+++ b/include/tarragonlock/version/loop_store_client.hpp
@@ -20,6 +20,9 @@
     duration watch_wait = std::chrono::seconds(25);
     /// Time between two tries of a call that failed.
     duration retry_interval = std::chrono::milliseconds(300);
+    /// A read that is not answered for this long is joined by another one. The service may have
+    /// been down when the first one was sent; a slow one answers in a quarter of a second.
+    duration read_hedge = std::chrono::milliseconds(400);
 };
 
 /// A store_client for an event loop: it has no tasks of its own and is driven by on_tick.
@@ -45,7 +48,20 @@
         watching
     };
 
-    void read_page(const std::string& after_key);
+    /// One reading of all pages; several may be under way, and the first to end counts.
+    struct reading
+    {
+        /// Readings of earlier rounds come too late.
+        std::uint64_t round = 0;
+        store_snapshot pages;
+        /// Revision of the first page.
+        std::int64_t revision = 0;
+    };
+
+    void begin_reading(instant now);
+    void read_page(const std::shared_ptr<reading>& pass, const std::string& after_key);
+    void take_page(const std::shared_ptr<reading>& pass, store_page page);
+    void on_reading_failed(const std::error_code& error);
     void open_watch();
     void note_reachable();
     void renew(instant now);
@@ -57,7 +73,9 @@
     watch_state watch_ = watch_state::unread;
     instant next_try_;
     std::int64_t revision_ = 0;
-    store_snapshot pages_;
+    std::uint64_t reading_round_ = 0;
+    std::uint32_t readings_open_ = 0;
+    instant reading_sent_;
     bool reachable_ = true;
     std::optional<std::pair<std::string, std::string>> registration_;
     std::int64_t lease_ = 0;
--- a/src/version/loop_store_client.cpp
+++ b/src/version/loop_store_client.cpp
@@ -10,6 +10,8 @@
 
 /// Renewals in one lease time, so that two may fail.
 constexpr int renewals_per_lease = 3;
+/// Most readings under way at once; their calls time out after two seconds.
+constexpr std::uint32_t max_readings = 5;
 
 } // namespace
 
@@ -22,16 +24,12 @@
 void loop_store_client::on_tick(instant now)
 {
     calls_.on_tick(now);
-    if (now >= next_try_)
-    {
-        if (watch_ == watch_state::unread)
-        {
-            pages_ = {};
-            read_page("");
-        }
-        else if (watch_ == watch_state::ready)
-            open_watch();
-    }
+    const bool hedge = watch_ == watch_state::reading && readings_open_ < max_readings &&
+                       now - reading_sent_ >= options_.read_hedge;
+    if (hedge || (watch_ == watch_state::unread && now >= next_try_))
+        begin_reading(now);
+    else if (watch_ == watch_state::ready && now >= next_try_)
+        open_watch();
     if (registration_ && !registering_ && now >= next_renewal_)
         renew(now);
 }
@@ -46,37 +44,60 @@
     next_renewal_ = instant{};
 }
 
-void loop_store_client::read_page(const std::string& after_key)
+void loop_store_client::begin_reading(instant now)
 {
     watch_ = watch_state::reading;
-    calls_.list(
-        options_.prefix, after_key,
-        [this](result<store_page> page)
-        {
-            if (!page)
-            {
-                if (std::exchange(reachable_, false))
-                    log_event(log_level::warn, "store_lost", {{"error", page.error().message()}});
-                watch_ = watch_state::unread;
-                next_try_ = process_clock::now() + options_.retry_interval;
-                return;
-            }
-            note_reachable();
-            auto& read = page.value();
-            // Pages are no snapshot; changes since the first one come from the watch.
-            if (pages_.items.empty())
-                revision_ = read.revision;
-            const auto last_key = read.items.empty() ? "" : read.items.back().key;
-            std::move(read.items.begin(), read.items.end(), std::back_inserter(pages_.items));
-            if (read.truncated && !last_key.empty())
-            {
-                read_page(last_key);
-                return;
-            }
-            watch_ = watch_state::ready;
-            on_event_(std::exchange(pages_, {}));
-            open_watch();
-        });
+    reading_sent_ = now;
+    ++readings_open_;
+    auto pass = std::make_shared<reading>();
+    pass->round = reading_round_;
+    read_page(pass, "");
+}
+
+void loop_store_client::read_page(const std::shared_ptr<reading>& pass,
+                                  const std::string& after_key)
+{
+    calls_.list(options_.prefix, after_key,
+                [this, pass](result<store_page> page)
+                {
+                    if (pass->round != reading_round_)
+                        return;
+                    if (page)
+                        take_page(pass, std::move(page).value());
+                    else
+                        on_reading_failed(page.error());
+                });
+}
+
+void loop_store_client::on_reading_failed(const std::error_code& error)
+{
+    if (std::exchange(reachable_, false))
+        log_event(log_level::warn, "store_lost", {{"error", error.message()}});
+    if (--readings_open_ > 0)
+        return;
+    watch_ = watch_state::unread;
+    next_try_ = process_clock::now() + options_.retry_interval;
+}
+
+void loop_store_client::take_page(const std::shared_ptr<reading>& pass, store_page page)
+{
+    note_reachable();
+    // Pages are no snapshot; changes since the first one come from the watch.
+    if (pass->pages.items.empty())
+        pass->revision = page.revision;
+    const auto last_key = page.items.empty() ? "" : page.items.back().key;
+    std::move(page.items.begin(), page.items.end(), std::back_inserter(pass->pages.items));
+    if (page.truncated && !last_key.empty())
+    {
+        read_page(pass, last_key);
+        return;
+    }
+    ++reading_round_;
+    readings_open_ = 0;
+    revision_ = pass->revision;
+    watch_ = watch_state::ready;
+    on_event_(std::move(pass->pages));
+    open_watch();
 }
 
 void loop_store_client::open_watch()
--- /dev/null
+++ b/tests/version/loop_store_client_test.cpp
@@ -0,0 +1,119 @@
+#include "tarragonlock/version/loop_store_client.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tarragonlock;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+/// Keeps the handlers of calls, so that a test answers them when it likes.
+class held_calls : public key_value_calls
+{
+public:
+    void list(const std::string&, const std::string& after_key,
+              handler<store_page> on_page) override
+    {
+        pages_after.push_back(after_key);
+        lists.push_back(std::move(on_page));
+    }
+    void watch(const std::string&, std::int64_t after_revision, duration,
+               handler<store_batch>) override
+    {
+        watched_after = after_revision;
+    }
+    void write(const std::string&, std::int64_t, const std::string&, std::int64_t,
+               handler<swap_result>) override
+    {
+    }
+    void grant_lease(duration, handler<std::int64_t>) override {}
+    void keep_lease(std::int64_t, handler<bool>) override {}
+    void end_lease(std::int64_t) override {}
+    void on_tick(instant) override {}
+    std::uint64_t calls() const override { return lists.size(); }
+
+    std::vector<handler<store_page>> lists;
+    std::vector<std::string> pages_after;
+    std::int64_t watched_after = -1;
+};
+
+struct fixture
+{
+    /// Lets time pass in steps of a daemon's tick.
+    void pass(duration length)
+    {
+        for (const auto end = now + length; now < end; now += milliseconds(20))
+            client.on_tick(now);
+    }
+
+    static store_page page(const std::string& value, std::int64_t revision, bool truncated = false)
+    {
+        return {{{"key", value, revision}}, truncated, revision};
+    }
+
+    instant now = process_clock::now();
+    held_calls calls;
+    std::vector<store_event> events;
+    loop_store_client client{
+        calls, {"prefix/"}, [this](const store_event& event) { events.push_back(event); }};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(loop_store_client_tests)
+
+BOOST_AUTO_TEST_CASE(a_read_without_answer_is_joined_by_others)
+{
+    fixture f;
+    f.pass(milliseconds(300));
+    BOOST_TEST(f.calls.lists.size() == 1U);
+    f.pass(milliseconds(200));
+    BOOST_REQUIRE_EQUAL(f.calls.lists.size(), 2U);
+    f.calls.lists[1](fixture::page("new", 7));
+    BOOST_REQUIRE_EQUAL(f.events.size(), 1U);
+    BOOST_TEST(std::get<store_snapshot>(f.events[0]).items.at(0).value == "new");
+    BOOST_TEST(f.calls.watched_after == 7);
+}
+
+BOOST_AUTO_TEST_CASE(a_reading_that_comes_after_another_one_is_dropped)
+{
+    fixture f;
+    f.pass(milliseconds(500));
+    f.calls.lists.at(1)(fixture::page("new", 7));
+    f.calls.lists.at(0)(fixture::page("old", 5));
+    BOOST_TEST(f.events.size() == 1U);
+    BOOST_TEST(f.calls.watched_after == 7);
+    f.pass(milliseconds(3000));
+    BOOST_TEST(f.calls.lists.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(readings_are_bounded_and_begin_again_when_all_have_failed)
+{
+    fixture f;
+    f.pass(milliseconds(6000));
+    BOOST_TEST(f.calls.lists.size() == 5U);
+    for (std::size_t i = 0; i < 5; ++i)
+        f.calls.lists[i](make_error_code(store_error::unreachable));
+    // The client pauses by the process clock, which is seconds behind the test's by now.
+    f.pass(milliseconds(40));
+    BOOST_TEST(f.calls.lists.size() == 6U);
+    BOOST_TEST(f.events.empty());
+}
+
+BOOST_AUTO_TEST_CASE(pages_of_two_readings_are_not_mixed)
+{
+    fixture f;
+    f.pass(milliseconds(500));
+    f.calls.lists.at(0)(fixture::page("first", 5, true));
+    f.calls.lists.at(1)(fixture::page("second", 6, true));
+    BOOST_REQUIRE_EQUAL(f.calls.lists.size(), 4U);
+    f.calls.lists[3](fixture::page("rest", 8));
+    BOOST_REQUIRE_EQUAL(f.events.size(), 1U);
+    const auto& items = std::get<store_snapshot>(f.events[0]).items;
+    BOOST_REQUIRE_EQUAL(items.size(), 2U);
+    BOOST_TEST(items[0].value == "second");
+    BOOST_TEST(f.calls.watched_after == 6);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
