process: a stopping entry takes what it can still finish, and answers everything before it ends

Ruled out: closing idle channels at once, since a job already on its way there would be lost. Change: a job is taken while it should end before the last answers; 400 ms before the end of the grace period the rest is answered, truthfully as given up or not run. The stand-in worker tells the share of work done: with 0 for all runs the process test failed, since its runs counted as standing still. The test has a worker that stands still.

--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -87,6 +87,10 @@
     /// Stops a job on request.
     /// @return whether the job was known
     bool cancel(instant now, const std::string& id);
+    /// Answers every job, because the process ends.
+    void end_all(instant now);
+    /// @return the response time that a queue allows a job, as far as declared run times tell.
+    static duration allowed_time(const leased_job_request& request, const queue_rule& rule);
     void on_tick(instant now);
 
     bool knows(const std::string& id) const { return jobs_.contains(id); }
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -204,6 +204,12 @@
     return longest;
 }
 
+duration leased_dispatcher::allowed_time(const leased_job_request& request, const queue_rule& rule)
+{
+    return std::chrono::duration_cast<duration>(longest_chain(request) * rule.stretch) +
+           milliseconds(rule.objective_ms);
+}
+
 void leased_dispatcher::submit(instant now, caller_id caller, leased_job_request request,
                                const queue_rule& rule)
 {
@@ -224,10 +230,7 @@
     auto work = std::make_unique<job>();
     work->rule = rule;
     work->accepted = now;
-    const auto allowed =
-        std::chrono::duration_cast<duration>(longest_chain(request) * rule.stretch) +
-        milliseconds(rule.objective_ms);
-    work->goal = now + allowed;
+    work->goal = now + allowed_time(request, rule);
     work->deadline = now + milliseconds(request.deadline_ms) - answer_margin;
     work->goal = std::min(work->goal, work->deadline);
     for (const auto& step : request.steps)
@@ -344,6 +347,20 @@
     return true;
 }
 
+void leased_dispatcher::end_all(instant now)
+{
+    while (!jobs_.empty())
+    {
+        const auto found = jobs_.begin();
+        const auto retry_ms = static_cast<std::uint32_t>(to_ms(no_worker_retry));
+        answer(
+            now, found,
+            found->second->may_have_started()
+                ? leased_answer{leased_outcome::given_up, leased_reason::shutting_down, 0}
+                : leased_answer{leased_outcome::refused, leased_reason::shutting_down, retry_ms});
+    }
+}
+
 void leased_dispatcher::watch_time(instant when, const std::string& id)
 {
     due_.emplace(when, id);
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -11,10 +11,14 @@
 
 using std::chrono::milliseconds;
 
-/// After a request to stop, jobs are taken for this long, until no more channels are sent here.
+/// A stopping entry serves for at least this long, until no more channels are sent here.
 constexpr auto leaving_intake = milliseconds(2500);
 /// A shutdown ends this long before the grace period does.
 constexpr auto leaving_margin = milliseconds(300);
+/// What has no answer yet is answered this long before the shutdown ends, and the answers go out.
+constexpr auto last_answers = milliseconds(100);
+/// A stopping entry takes only jobs that should end this long before the last answers.
+constexpr auto leaving_reserve = milliseconds(200);
 
 } // namespace
 
@@ -166,7 +170,8 @@
                     : wire.malformed());
         return;
     }
-    if (stopping_ && now - stop_asked_ > leaving_intake)
+    const auto allowed = leased_dispatcher::allowed_time(job.value(), rule);
+    if (stopping_ && now + allowed + leaving_reserve > last_answers_at())
     {
         callers_->answer(
             id, wire.job_ended({leased_outcome::refused, leased_reason::shutting_down, 1}));
@@ -247,12 +252,21 @@
     carry_out();
     if (!stopping_)
         return;
-    const auto waited = now - stop_asked_;
-    const auto longest = std::chrono::seconds(settings_.grace_s) - leaving_margin;
-    if ((dispatcher_.idle() && waited >= leaving_intake) || waited >= longest)
+    if (now >= last_answers_at())
+    {
+        dispatcher_.end_all(now);
+        carry_out();
+    }
+    if ((dispatcher_.idle() && now - stop_asked_ >= leaving_intake && now < last_answers_at()) ||
+        now >= last_answers_at() + last_answers)
         process_.stop();
 }
 
+instant leased_entry_daemon::last_answers_at() const
+{
+    return stop_asked_ + std::chrono::seconds(settings_.grace_s) - leaving_margin - last_answers;
+}
+
 void leased_entry_daemon::on_stop(instant now)
 {
     stopping_ = true;
--- a/src/process/leased_entry_daemon.hpp
+++ b/src/process/leased_entry_daemon.hpp
@@ -52,6 +52,8 @@
     void on_frame(channel_id channel, const lease_frame& frame);
     void on_tick(instant now);
     void on_stop(instant now);
+    /// @return when a stopping entry answers what it still has.
+    instant last_answers_at() const;
     void carry_out();
     bool ready() const;
     std::string metrics() const;
--- a/tests/process/leased_dispatcher_test.cpp
+++ b/tests/process/leased_dispatcher_test.cpp
@@ -297,4 +297,21 @@
     BOOST_TEST(f.placed[1].second.step == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(every_job_is_answered_when_the_process_ends)
+{
+    fixture f(1);
+    f.submit("begun", 1, 100, 1);
+    f.report(1, no_room, 1000, 1, full_line);
+    f.submit("waiting", 1, 100, 2);
+    f.entry.end_all(f.now);
+    f.take();
+    BOOST_TEST(f.entry.idle());
+    BOOST_REQUIRE_EQUAL(f.answers.size(), 2U);
+    const std::map<caller_id, leased_answer> answers(f.answers.begin(), f.answers.end());
+    BOOST_TEST((answers.at(1).outcome == leased_outcome::given_up));
+    BOOST_TEST((answers.at(2).outcome == leased_outcome::refused));
+    BOOST_TEST(answers.at(2).retry_after_ms > 0U);
+    BOOST_TEST(f.withdrawn.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/leased_fleet_test.py
+++ b/tests/process/leased_fleet_test.py
@@ -165,6 +165,15 @@
            "a job is complete though starts were not answered")
 
 
+def check_stalled_worker(fleet):
+    fleet.workers[0].stuck = True
+    path, body = job(250, tasks=6, run_ms=400)
+    expect(call(fleet.entry(0), "POST", path, body)[0] == 200,
+           "a job is complete though a worker stands still")
+    expect(not fleet.workers[0].running, "what stood still there was stopped")
+    fleet.workers[0].stuck = False
+
+
 def check_entry_killed(fleet):
     path, body = job(300, tasks=2, run_ms=3000)
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
@@ -253,8 +262,8 @@
             eventually(lambda: call(fleet.entry(0), "POST", *job(9))[0] == 200, "the fleet serves")
             for worker in fleet.workers:
                 worker.starts.clear()
-            for check in (check_calm, check_flood, check_lost_answers, check_entry_killed,
-                          check_agent_killed, check_configuration, check_graceful_stop,
+            for check in (check_calm, check_flood, check_lost_answers, check_stalled_worker,
+                          check_entry_killed, check_agent_killed, check_configuration, check_graceful_stop,
                           check_drain, check_logs):
                 check(fleet)
         finally:
--- a/tests/standins/platform_standins.py
+++ b/tests/standins/platform_standins.py
@@ -155,6 +155,7 @@
         self.most_cpu = 0
         self.lose_answers = 0
         self.misdirected = 0
+        self.stuck = False
         self.sequence = 0
         self.state = "ready"
 
@@ -176,16 +177,24 @@
         self.changed.notify_all()
 
     def tick(self):
+        ticked = self.clock()
         while True:
             time.sleep(0.002)
             with self.changed:
                 clock = self.clock()
+                passed, ticked = clock - ticked, clock
+                if self.stuck:
+                    for run in self.running.values():
+                        run["end"] += passed
                 for task, run in list(self.running.items()):
                     if clock >= self.lease_end:
                         self.end(task, "lapsed")
                     elif clock >= run["end"]:
                         self.end(task, run["how"])
 
+    def percent(self, run):
+        return max(0, min(100, 100 - 100 * (run["end"] - self.clock()) // max(run["ms"], 1)))
+
     def announcement(self):
         self.sequence += 1
         return {"service": "desk", "address": f"127.0.0.1:{self.port}", "zone": "fd-1",
@@ -233,7 +242,7 @@
         if task not in worker.running:
             spec = json.loads(body["spec"])
             worker.running[task] = {"run": body["run"], "end": worker.clock() + spec["ms"],
-                                    "how": spec.get("how", "done")}
+                                    "ms": spec["ms"], "how": spec.get("how", "done")}
             worker.starts.append(task)
             worker.most_cpu = max(worker.most_cpu, 1000 * len(worker.running))
         return 200
@@ -254,6 +263,7 @@
         if not worker.ended and body.get("wait_ms"):
             worker.changed.wait(body["wait_ms"] / 1000)
         reply.update({"clock_ms": worker.clock(), "born": worker.born_ms,
-                      "running": [[t, r["run"], "", 0] for t, r in worker.running.items()],
+                      "running": [[t, r["run"], "", worker.percent(r)]
+                                  for t, r in worker.running.items()],
                       "finished": worker.ended[:500]})
         return 200
