request: entries spread over workers that are about as good; jobs behind the first begin as a whole

Cause: several entries saw the same room free, sent to the same worker, and the tasks of all but one waited there for 40 ms. And jobs of the last priority began in part, waited behind more urgent ones and ended late, so that their first tasks took room from others for little. Change: of workers that are about as good each entry prefers others, by a hash of both names; only the first waiting job begins in part, and those wider than a quarter of the fleet.

--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -43,6 +43,7 @@
 
 struct leased_dispatcher_options
 {
+    std::string name;
     std::string failure_domain;
     /// Time after a lost answer at which callers send a job again; whatever ran for this entry at
     /// an agent that it no longer hears has ended by then.
@@ -167,6 +168,19 @@
         /// Placements that the last report does not include yet.
         std::deque<placement_in_flight> in_flight;
         std::uint32_t tasks = 0;
+        /// Differs from entry to entry, so that they do not all send to the same worker at a time.
+        double reluctance = 0.0;
+    };
+
+    /// Whether a job may begin although not all of its ready tasks find room.
+    ///
+    /// Load pattern: more work than the fleet can take. A job that is begun in part and then waits
+    /// behind more urgent ones ends late, and what its first tasks took is lost to others. Only the
+    /// first of the waiting jobs begins in part, since the next room goes to it.
+    enum class job_start : std::uint8_t
+    {
+        in_part,
+        whole
     };
 
     using job_map = std::map<std::string, std::unique_ptr<job>, std::less<>>;
@@ -194,8 +208,10 @@
     void dequeue(job& work);
     /// Gives free room to waiting jobs.
     void dispatch(instant now);
+    static bool is_wide(const job& work, const std::vector<worker_forecast>& workers);
     /// @return whether nothing of the job waits any more.
-    bool place(instant now, job& work, std::vector<worker_forecast>& workers, double busy);
+    bool place(instant now, job& work, std::vector<worker_forecast>& workers, double busy,
+               job_start start);
     void send_placements(job& work, std::uint32_t step,
                          const std::map<channel_id, std::vector<std::uint32_t>>& chosen);
     void record(instant now, const job& work, leased_outcome what);
--- a/include/tarragonlock/request/worker_forecast.hpp
+++ b/include/tarragonlock/request/worker_forecast.hpp
@@ -27,6 +27,8 @@
     double slowness = 1.0;
     /// Cost of work that has to leave the failure domain.
     duration distance{};
+    /// How much this entry would rather use other workers that are as good, 0 to 1.
+    double reluctance = 0.0;
     /// Most tasks that may still be placed here.
     std::uint32_t open_tasks = 0;
     /// Whether its last runs failed, so that the next one may stand still too.
@@ -82,7 +84,9 @@
 /// Load pattern: uneven workers, mixed long and short tasks. While much of the fleet is free a task
 /// goes where it ends first. The busier the fleet, the more a task leaves the fast workers to those
 /// that need them, and takes the slowest one that still ends in time. A worker that ends in time
-/// even if the declared run time is far off goes before one that does so only if it is right.
+/// even if the declared run time is far off goes before one that does so only if it is right. Of
+/// workers that are about as good each entry takes others, because room that several entries see
+/// free at a time is given away more than once.
 /// @param workers  candidates; the chosen one is not reserved
 /// @param busy     share of the fleet's processors in use, 0 to 1
 /// @return the position of the chosen worker, or workers.size() when none will do
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include "tarragonlock/common/log.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace tarragonlock
@@ -24,6 +26,15 @@
 /// When to come back if no worker is known that may run a job.
 constexpr auto no_worker_retry = std::chrono::seconds(1);
 
+/// @return a number from 0 to 1 that is fixed for the pair.
+double reluctance(const std::string& entry, const std::string& agent)
+{
+    const auto bits =
+        XXH3_64bits_withSeed(agent.data(), agent.size(), XXH3_64bits(entry.data(), entry.size()));
+    constexpr auto steps = 1U << 16U;
+    return static_cast<double>(bits % steps) / steps;
+}
+
 std::int64_t to_ms(duration value)
 {
     return std::chrono::duration_cast<milliseconds>(value).count();
@@ -101,7 +112,9 @@
         on_channel_lost(now, other);
         effects_.emplace_back(close_channel{other});
     }
-    agents_[channel].name = hello.name;
+    auto& known = agents_[channel];
+    known.name = hello.name;
+    known.reluctance = reluctance(options_.name, hello.name);
 }
 
 void leased_dispatcher::handle(instant, channel_id channel, const worker_description& what)
@@ -426,7 +439,7 @@
         return;
     // Room on a worker that is too slow for it is better than none.
     auto workers = forecasts();
-    place(now, work, workers, busy_share(workers));
+    place(now, work, workers, busy_share(workers), job_start::in_part);
     if (!work.may_have_started())
         answer(now, found,
                {leased_outcome::refused, leased_reason::overloaded,
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -18,6 +18,8 @@
 constexpr auto longest_wait_at_agent = milliseconds(40);
 /// After so many jobs in a row that found no room, the rest keep waiting.
 constexpr std::size_t fruitless_jobs = 16;
+/// Share of the fleet's processors up to which a job is begun only as a whole.
+constexpr double widest_whole_start = 0.25;
 
 } // namespace
 
@@ -102,6 +104,7 @@
         forecast.slowness = known.load.slowness_millis / 1000.0;
         if (known.worker.failure_domain != options_.failure_domain)
             forecast.distance = domain_distance;
+        forecast.reluctance = known.reluctance;
         forecast.on_trial = known.load.condition == worker_condition::on_trial;
         forecast.open_tasks = open_tasks(known);
         found.push_back(forecast);
@@ -202,18 +205,36 @@
     for (const auto& [rank, id] : waiting_)
         order.push_back(id);
     std::size_t fruitless = 0;
+    bool first = true;
     for (const auto& id : order)
     {
         auto& work = *jobs_.find(id)->second;
-        fruitless = place(now, work, workers, busy) ? 0 : fruitless + 1;
+        const auto start = std::exchange(first, false) ? job_start::in_part : job_start::whole;
+        fruitless = place(now, work, workers, busy, start) ? 0 : fruitless + 1;
         if (fruitless >= fruitless_jobs)
             return;
     }
 }
 
+/// @return whether a job takes so much of the fleet that it would wait too long for all of it.
+bool leased_dispatcher::is_wide(const job& work, const std::vector<worker_forecast>& workers)
+{
+    double capacity = 0.0;
+    for (const auto& each : workers)
+        capacity += static_cast<double>(each.capacity.cpu_millis);
+    return std::any_of(work.request.steps.begin(), work.request.steps.end(),
+                       [&](const job_step& step)
+                       {
+                           return static_cast<double>(step.demand.cpu_millis) * step.task_count >
+                                  widest_whole_start * capacity;
+                       });
+}
+
 bool leased_dispatcher::place(instant now, job& work, std::vector<worker_forecast>& workers,
-                              double busy)
+                              double busy, job_start start)
 {
+    const bool whole_only =
+        start == job_start::whole && !work.may_have_started() && !is_wide(work, workers);
     bool placed_all = true;
     bool placed_any = false;
     for (std::uint32_t step = 0; step < work.steps.size(); ++step)
@@ -240,6 +261,8 @@
             candidates[best].reserve(wanted.demand);
             chosen[candidates[best].worker].push_back(index);
         }
+        if (whole_only && !placed_all)
+            return false; // Nothing of this step is sent, and no earlier one was ready.
         for (auto& each : workers)
         {
             if (const auto taken = chosen.find(each.worker); taken != chosen.end())
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -27,7 +27,7 @@
                                          leased_entry_protocols protocols)
     : loop_(loop), settings_(settings), protocols_(std::move(protocols)),
       dispatcher_(process_clock::now(),
-                  {settings.failure_domain, milliseconds(settings.caller_resend_ms),
+                  {settings.name, settings.failure_domain, milliseconds(settings.caller_resend_ms),
                    settings.remote_data_factor}),
       store_(*protocols_.store, {protocols_.configuration->key_prefix()},
              [this](const store_event& event) { on_store_event(event); }),
--- a/src/request/worker_forecast.cpp
+++ b/src/request/worker_forecast.cpp
@@ -14,6 +14,9 @@
 constexpr double longest_run = 1.5;
 /// Learned slowness is off by a few percent, since it is learned from declared run times.
 constexpr double slowness_error = 1.08;
+/// Weight of an entry's reluctance, as a share of the declared run time. In the replayed load of
+/// twelve entries 0.1 left more tasks at workers that others had filled, 0.6 more at slow ones.
+constexpr double spread = 0.3;
 /// Tasks that may wait at a worker for the same or a higher priority.
 constexpr std::int64_t line_length = 2;
 /// For messages and the start itself.
@@ -91,7 +94,8 @@
         const double spare = when == punctuality::late ? 0.0 : busy;
         const double cost = declared.count() * ((1.0 - spare) * candidate.slowness +
                                                 spare * (slowest - candidate.slowness)) +
-                            static_cast<double>(candidate.distance.count());
+                            static_cast<double>(candidate.distance.count()) +
+                            declared.count() * spread * candidate.reluctance;
         if (best != workers.size() && std::tuple(when, cost) >= best_cost)
             continue;
         best = i;
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -76,6 +76,7 @@
     entry.held.clear();
     entry.frozen_until = {};
     leased_dispatcher_options settings;
+    settings.name = "entry-" + std::to_string(index);
     settings.failure_domain = "fd-0";
     settings.wait_for_lost_agents = options_.wait_for_lost_agents;
     entry.core = std::make_unique<leased_dispatcher>(now_, settings);
--- a/tests/process/leased_dispatcher_test.cpp
+++ b/tests/process/leased_dispatcher_test.cpp
@@ -95,7 +95,7 @@
 
     instant now{std::chrono::hours(1)};
     queue_rule rule;
-    leased_dispatcher entry{now, {"fd-0"}};
+    leased_dispatcher entry{now, {"entry-0", "fd-0"}};
     std::vector<std::pair<channel_id, place_tasks>> placed;
     std::vector<std::pair<channel_id, std::string>> withdrawn;
     std::vector<std::pair<caller_id, leased_answer>> answers;
--- a/tests/request/overload_test.cpp
+++ b/tests/request/overload_test.cpp
@@ -79,6 +79,19 @@
     BOOST_TEST(result.queues["release"].in_time_share() >= floor_share);
 }
 
+BOOST_AUTO_TEST_CASE(many_entries_do_not_send_to_the_same_workers_at_a_time)
+{
+    auto options = fleet();
+    options.entries = 12;
+    options.agents = 44;
+    for (auto& queue : options.traffic)
+        queue.jobs_per_s *= 4;
+    flood(options.traffic[1], 2.5);
+    auto result = play(options);
+    BOOST_TEST(result.queues["lookup"].in_time_share() >= calm_share);
+    BOOST_TEST(result.queues["hold"].in_time_share() >= calm_share);
+}
+
 BOOST_AUTO_TEST_CASE(a_flood_of_short_jobs_leaves_the_others_their_share)
 {
     auto options = fleet();
@@ -99,18 +112,13 @@
         (result.queues["hold"].latest_refusal <= std::chrono::milliseconds(200 * 224 / 100 + 100)));
 }
 
-/// Three of eleven workers stand still for five seconds, over several seeds.
-std::map<std::string, fakes::queue_result> play_stalls(bool stop_stalled_runs)
+/// Plays the same load with several seeds, because one says little about the rarer jobs.
+std::map<std::string, fakes::queue_result> play_seeds(leased_fleet_options options,
+                                                      std::uint64_t seeds)
 {
     std::map<std::string, fakes::queue_result> total;
-    for (std::uint64_t seed = 1; seed <= 4; ++seed)
+    for (options.seed = 1; options.seed <= seeds; ++options.seed)
     {
-        auto options = fleet();
-        options.seed = seed;
-        options.stalled_workers = 3;
-        options.stalled_at = seconds(8);
-        options.stalled_for = seconds(5);
-        options.host.stop_stalled_runs = stop_stalled_runs;
         for (const auto& [name, queue] : play(options).queues)
         {
             total[name].jobs += queue.jobs;
@@ -120,6 +128,17 @@
     return total;
 }
 
+/// Three of eleven workers stand still for five seconds.
+std::map<std::string, fakes::queue_result> play_stalls(bool stop_stalled_runs)
+{
+    auto options = fleet();
+    options.stalled_workers = 3;
+    options.stalled_at = seconds(8);
+    options.stalled_for = seconds(5);
+    options.host.stop_stalled_runs = stop_stalled_runs;
+    return play_seeds(options, 16);
+}
+
 BOOST_AUTO_TEST_CASE(jobs_go_on_elsewhere_when_workers_stand_still)
 {
     auto with = play_stalls(true);
@@ -138,9 +157,9 @@
     options.lost_agents = 4;
     options.lost_at = seconds(8);
     options.length = seconds(36);
-    auto result = play(options);
-    BOOST_TEST(result.queues["lookup"].in_time_share() >= urgent_share);
-    for (const auto& [name, queue] : result.queues)
+    auto result = play_seeds(options, 6);
+    BOOST_TEST(result["lookup"].in_time_share() >= urgent_share);
+    for (const auto& [name, queue] : result)
         BOOST_TEST(queue.in_time_share() >= floor_share, name);
 }
 
