--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -261,9 +261,12 @@
         instant order_sent;
         std::uint64_t order_fence = 0;
         instant started;
-        /// Whether the worker answered the present order, and when.
+        /// Whether the worker answered the present order.
         bool answered = false;
-        instant answered_at;
+        /// Number of the first renewal whose answer tells for sure whether the run is there.
+        std::uint64_t listed_from = 0;
+        /// Whether its start was not answered, and it has not been seen running since.
+        bool in_doubt = false;
         /// Share of its work that was done when it last advanced, and the worker's clock then.
         std::uint32_t percent = 0;
         std::int64_t advanced_ms = 0;
@@ -313,8 +316,10 @@
     bool may_start(instant now) const;
     bool lease_is_fresh(instant now, channel_id channel) const;
     void learn_duration(const hosted_task& task, instant now);
-    /// @param asked  when the listing was asked for
-    void reconcile(instant now, instant asked, const run_listing& listing);
+    /// @param number  that of the renewal which asked for the listing
+    void reconcile(instant now, std::uint64_t number, const run_listing& listing);
+    /// @return whether a run is in doubt and no renewal under way will tell.
+    bool must_ask_now() const;
     void take_end(instant now, const run_end& end);
     /// Stops a run that has not advanced for too long.
     void watch_progress(instant now, hosted_task& task, std::uint32_t percent,
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -19,7 +19,7 @@
 /// Shortest time between two reports of changed load to all entries.
 constexpr auto load_interval = milliseconds(5);
 /// An unanswered stop is sent again after this time.
-constexpr auto stop_retry = milliseconds(60);
+constexpr auto stop_retry = milliseconds(40);
 /// A worker that refused as unhealthy is left alone for this time.
 constexpr auto unwilling_pause = milliseconds(200);
 /// How long run numbers of ended tasks are remembered; longer than late orders take.
@@ -278,6 +278,7 @@
     task.order_sent = now;
     task.started = now;
     task.percent = 0;
+    task.in_doubt = false;
     task.order_fence = fence_;
     const task_id id{task.run.job, task.run.step, task.run.index};
     last_runs_[id] = {task.run.run, now};
@@ -329,16 +330,19 @@
         task->state = task_state::running;
         task->advanced_ms = clock_ms;
         task->answered = true;
-        task->answered_at = now;
+        task->listed_from = last_renewal_ + 1;
         return;
     case start_reply::no_answer:
-        // The start may be carried out seconds later. Only a confirmed stop of this run rules that
-        // out, so the task keeps its resources until then.
+        // Either it runs, which the next listing tells, or it may be carried out seconds later.
+        // Only a confirmed stop of this run rules that out, so the task keeps its resources until
+        // then.
         ++counters_.unanswered_starts;
         log_event(log_level::warn, "start_unanswered", {{"job", run.job}, {"run", run.run}});
         if (!options_.mechanisms.bar_unanswered_starts)
             break;
-        order_stop(now, *task);
+        task->in_doubt = true;
+        task->listed_from = last_renewal_ + 1;
+        renew_if_needed(now);
         return;
     case start_reply::fenced:
         // Either the fence was raised while the order was on its way, or an earlier process of this
@@ -383,7 +387,8 @@
     if (auto* task = find(run); task != nullptr && task->state == task_state::stopping)
     {
         task->answered = true;
-        task->answered_at = now;
+        task->listed_from = last_renewal_ + 1;
+        renew_if_needed(now);
     }
 }
 
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -34,6 +34,8 @@
 constexpr double stall_share = 0.2;
 /// Most renewals under way at once.
 constexpr std::size_t max_renewals = 4;
+/// Renewals beyond these that only ask what runs.
+constexpr std::size_t urgent_renewals = 2;
 
 } // namespace
 
@@ -139,12 +141,29 @@
     return worker_clock(now) + std::chrono::duration_cast<milliseconds>(length).count();
 }
 
+bool task_host::must_ask_now() const
+{
+    return std::any_of(
+        tasks_.begin(), tasks_.end(),
+        [this](const auto& item)
+        {
+            const auto& task = item.second;
+            const bool asks =
+                task.in_doubt && (task.state == task_state::starting ||
+                                  (task.state == task_state::stopping && task.answered));
+            return asks && renewals_.lower_bound(task.listed_from) == renewals_.end();
+        });
+}
+
 void task_host::renew_if_needed(instant now)
 {
-    const auto pause = !renewals_.empty()     ? renewal_hedge
+    const bool at_once = silent_renewals_ == 0 && must_ask_now();
+    const auto pause = at_once                ? milliseconds(0)
+                       : !renewals_.empty()   ? renewal_hedge
                        : silent_renewals_ > 0 ? renewal_retry
                                               : milliseconds(0);
-    if (!worker_ || renewals_.size() >= max_renewals || now - renewal_sent_ < pause)
+    const auto most = at_once ? max_renewals + urgent_renewals : max_renewals;
+    if (!worker_ || renewals_.size() >= most || now - renewal_sent_ < pause)
         return;
     const bool ordered = anything_ordered();
     if (worker_known_ && strangers_.empty() && !ordered && ends_seen_ == ends_confirmed_)
@@ -154,7 +173,9 @@
         std::any_of(tasks_.begin(), tasks_.end(),
                     [](const auto& item) { return item.second.state == task_state::stopping; });
     auto wait = duration(0);
-    if (stopping)
+    if (at_once)
+        wait = duration(0);
+    else if (stopping)
         wait = stop_poll;
     else if (ordered && worker_known_)
         wait = options_.execution_lease / renewal_wait_divisor;
@@ -172,7 +193,6 @@
     const auto asked = renewals_.find(number);
     if (asked == renewals_.end())
         return;
-    const auto sent = asked->second;
     renewals_.erase(asked);
     if (!listing)
     {
@@ -195,13 +215,13 @@
     silent_renewals_ = 0;
     clock_ms_ = listing->clock_ms;
     clock_read_ = now;
-    reconcile(now, sent, *listing);
+    reconcile(now, number, *listing);
     describe_if_changed(now);
     start_waiting(now);
     renew_if_needed(now);
 }
 
-void task_host::reconcile(instant now, instant asked, const run_listing& listing)
+void task_host::reconcile(instant now, std::uint64_t number, const run_listing& listing)
 {
     for (const auto& end : listing.ended)
     {
@@ -227,7 +247,8 @@
             // The start's own answer was lost or overtaken.
             task->state = task_state::running;
             task->answered = true;
-            task->answered_at = now;
+            task->in_doubt = false;
+            task->listed_from = last_renewal_ + 1;
             task->advanced_ms = listing.clock_ms;
         }
         else if (task->state == task_state::running)
@@ -236,10 +257,13 @@
     std::erase_if(strangers_, [&](const auto& item) { return !running.contains(item.first); });
     for (auto task = tasks_.begin(); task != tasks_.end();)
     {
-        const auto& hosted = task->second;
-        const bool over = hosted.state != task_state::waiting && hosted.answered &&
-                          hosted.answered_at < asked && !running.contains(hosted.run);
-        task = over ? finish(now, task, task_end_kind::stopped) : std::next(task);
+        auto& hosted = task->second;
+        const bool absent = hosted.state != task_state::waiting && number >= hosted.listed_from &&
+                            !running.contains(hosted.run);
+        if (absent && hosted.state == task_state::starting && hosted.in_doubt)
+            order_stop(now, hosted);
+        task =
+            absent && hosted.answered ? finish(now, task, task_end_kind::stopped) : std::next(task);
     }
     worker_known_ = strangers_.empty();
 }
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -181,8 +181,13 @@
 {
     fixture f;
     f.place(entry_a, "one");
+    f.answer_renewals({});
+    BOOST_TEST(f.stops.empty());
     f.host->on_start_reply(f.now, f.starts[0].run, start_reply::no_answer, 0);
     f.take();
+    BOOST_REQUIRE(!f.renewals.empty());
+    BOOST_TEST(f.renewals.back().wait_ms == 0U);
+    f.answer_renewals({});
     BOOST_REQUIRE_EQUAL(f.stops.size(), 1U);
     BOOST_TEST((f.stops[0].run == f.starts[0].run));
     BOOST_TEST(f.ends.empty());
@@ -196,6 +201,40 @@
     BOOST_TEST((f.ends[0].kind == task_end_kind::stopped));
 }
 
+BOOST_AUTO_TEST_CASE(a_run_whose_start_was_not_answered_goes_on_when_it_is_listed)
+{
+    fixture f;
+    f.place(entry_a, "one");
+    f.answer_renewals({});
+    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::no_answer, 0);
+    run_listing listing;
+    listing.running = {{f.starts[0].run, 10}};
+    f.answer_renewals(listing);
+    BOOST_TEST(f.stops.empty());
+    listing.running.clear();
+    listing.ended = {{1, f.starts[0].run, run_end_kind::done}};
+    f.answer_renewals(listing);
+    BOOST_REQUIRE_EQUAL(f.ends.size(), 1U);
+    BOOST_TEST((f.ends[0].kind == task_end_kind::done));
+}
+
+BOOST_AUTO_TEST_CASE(a_barred_start_is_placed_again_without_a_long_poll)
+{
+    fixture f;
+    f.place(entry_a, "one");
+    f.answer_renewals({});
+    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::no_answer, 0);
+    f.answer_renewals({});
+    BOOST_REQUIRE_EQUAL(f.stops.size(), 1U);
+    f.host->on_stop_reply(f.now, f.stops[0].run, stop_reply::accepted);
+    f.take();
+    BOOST_REQUIRE(!f.renewals.empty());
+    BOOST_TEST(f.renewals.back().wait_ms == 0U);
+    f.answer_renewals({});
+    BOOST_REQUIRE_EQUAL(f.ends.size(), 1U);
+    BOOST_TEST((f.ends[0].kind == task_end_kind::stopped));
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_falls_silent_loses_its_tasks_only)
 {
     fixture f;
