tests: a fault soak of the real programs as separate processes

Three entries, four agents, a stand-in store and stand-in workers; every path between them leads through a loopback proxy that delays, holds up one way or both, silences or resets; processes are killed, paused, stopped and started; orders are lost or carried out late, workers replaced or stalled, the store down, the configuration changed, two series of faults at a time. Callers keep their connections. Checked while it runs: two runs of a task, capacity, starts that nobody sent, completed without all tasks, answers by the deadline and planned stops without a cut when no fault is near; after it: newest configuration in force, the fleet serves, nothing runs on, refusals were true. The stand-in worker can begin a new life, carry starts out late and share its lock with others.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS := $(shell nproc)
 SOURCES = $(shell git ls-files '*.cpp' '*.hpp')
 
-.PHONY: build packages check demo format format-check lint test clean bench bench-quick explore
+.PHONY: build packages check demo format format-check lint test clean bench bench-quick explore soak
 
 build: packages
 	cmake -S . -B $(BUILD) -G Ninja >/dev/null
@@ -43,3 +43,9 @@
 
 clean:
 	rm -rf $(BUILD)
+
+# Faults from outside on the real programs; seeds that fail leave their logs in build/soak.
+SOAK_SECONDS ?= 20
+SOAK_JOBS ?= 3
+soak: build
+	python3 tests/soak/soak.py --seeds $(SEEDS) --first-seed $(FIRST_SEED) --seconds $(SOAK_SECONDS) --jobs $(SOAK_JOBS) --keep $(BUILD)/soak
--- a/tests/process/leased_fleet_test.py
+++ b/tests/process/leased_fleet_test.py
@@ -5,7 +5,6 @@
 import json
 import pathlib
 import signal
-import subprocess
 import sys
 import tempfile
 import threading
@@ -13,14 +12,13 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "tests" / "standins"))
+from leased_processes import WAIT_S, LeasedProcesses  # noqa: E402
 from platform_standins import Store, Worker  # noqa: E402
 
-PROGRAM = ROOT / "build" / "tarragonlock-leased"
 PORT = 27000
 STORE_PORT = PORT
 HOSTS = ["127.0.0.2", "127.0.0.3"]
 PEER_PORT = PORT + 20
-WAIT_S = 20
 ROUTES = {"routes": [{"name": "r", "host": "desk.example", "prefix": "/lots/", "kind": "unsafe",
                       "timeout_ms": 1500, "target_duration_ms": 3000, "priority": 0,
                       "service": "desk", "max_attempts": 2, "stretch": 4.0}],
@@ -61,7 +59,7 @@
 
     def __init__(self, folder):
         self.folder = pathlib.Path(folder)
-        self.processes = {}
+        self.processes = LeasedProcesses(folder, self.settings)
         self.store = Store(STORE_PORT).start()
         self.version = 0
         self.apply(ROUTES)
@@ -79,22 +77,19 @@
     def ready(self, index):
         return call(f"{HOSTS[index]}:{PORT + 2}", "GET", "/-/ready", timeout=2)[0]
 
-    def start(self, role, index):
+    def settings(self, role, index):
         common = [f"name: {role}-{index}", "failure_domain: fd-1", f"peer_port: {PEER_PORT}",
                   f"store: 127.0.0.1:{STORE_PORT}"]
         if role == "entry":
-            lines = common + [f"host: {HOSTS[index]}", f"listen_callers: {self.entry(index)}",
-                              f"listen_readiness: {HOSTS[index]}:{PORT + 2}",
-                              f"metrics_port: {PORT + 3}"]
-        else:
-            lines = common + ["host: 127.0.0.1", f"listen_worker: 127.0.0.1:{PORT + 40 + index}",
-                              f"entry_hints: [{HOSTS[0]}:1, {HOSTS[1]}:1]",
-                              f"metrics_port: {PORT + 50 + index}"]
-        path = self.folder / f"{role}-{index}.yaml"
-        path.write_text("\n".join(lines) + "\n", encoding="utf-8")
-        log = (self.folder / f"{role}-{index}.log").open("ab")
-        self.processes[role, index] = subprocess.Popen([PROGRAM, role, "--settings", path],
-                                                       stdout=log, stderr=log)
+            return common + [f"host: {HOSTS[index]}", f"listen_callers: {self.entry(index)}",
+                             f"listen_readiness: {HOSTS[index]}:{PORT + 2}",
+                             f"metrics_port: {PORT + 3}"]
+        return common + ["host: 127.0.0.1", f"listen_worker: 127.0.0.1:{PORT + 40 + index}",
+                         f"entry_hints: [{HOSTS[0]}:1, {HOSTS[1]}:1]",
+                         f"metrics_port: {PORT + 50 + index}"]
+
+    def start(self, role, index):
+        self.processes.start(role, index)
 
     def beat(self):
         while self.beating:
@@ -104,15 +99,11 @@
             time.sleep(0.2)
 
     def end(self, role, index, how):
-        process = self.processes.pop((role, index))
-        process.send_signal(how)
-        return process.wait(timeout=WAIT_S)
+        return self.processes.end(role, index, how)
 
     def stop(self):
         self.beating = False
-        for process in self.processes.values():
-            process.kill()
-            process.wait()
+        self.processes.stop()
 
 
 def job(number, tasks=2, run_ms=50, **spec):
@@ -226,8 +217,7 @@
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
         pending = pool.submit(call, fleet.entry(0), "POST", path, body)
         eventually(lambda: sum(len(w.running) for w in fleet.workers) == 2, "the job runs")
-        process = fleet.processes[("entry", 0)]
-        process.send_signal(signal.SIGTERM)
+        fleet.processes.signal("entry", 0, signal.SIGTERM)
         eventually(lambda: fleet.ready(0) != 200, "a leaving entry is not ready")
         expect(pending.result()[0] == 200, "a planned stop cuts no request")
     expect(fleet.end("entry", 0, signal.SIGTERM) == 0, "the entry ends by itself")
--- /dev/null
+++ b/tests/standins/leased_processes.py
@@ -0,0 +1,39 @@
+"""Starts and ends the real programs for leased jobs, each with a settings file of its own."""
+import pathlib
+import subprocess
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PROGRAM = ROOT / "build" / "tarragonlock-leased"
+WAIT_S = 20
+
+
+class LeasedProcesses:
+    """Entries and agents by role and index."""
+
+    def __init__(self, folder, settings):
+        """settings(role, index) gives the lines of a settings file."""
+        self.folder = pathlib.Path(folder)
+        self.settings = settings
+        self.running = {}
+
+    def start(self, role, index):
+        path = self.folder / f"{role}-{index}.yaml"
+        path.write_text("\n".join(self.settings(role, index)) + "\n", encoding="utf-8")
+        with (self.folder / f"{role}-{index}.log").open("ab") as log:
+            self.running[role, index] = subprocess.Popen([PROGRAM, role, "--settings", path],
+                                                         stdout=log, stderr=log)
+
+    def signal(self, role, index, how):
+        self.running[role, index].send_signal(how)
+
+    def end(self, role, index, how):
+        """Sends a signal, waits for the end and returns the exit status."""
+        process = self.running.pop((role, index))
+        process.send_signal(how)
+        return process.wait(timeout=WAIT_S)
+
+    def stop(self):
+        for process in self.running.values():
+            process.kill()
+            process.wait()
+        self.running.clear()
--- a/tests/standins/platform_standins.py
+++ b/tests/standins/platform_standins.py
@@ -48,8 +48,8 @@
 class Store(Server):
     """Keys with revisions, leases and watches."""
 
-    def __init__(self, port):
-        super().__init__(("127.0.0.1", port), StoreHandler)
+    def __init__(self, port, host="127.0.0.1"):
+        super().__init__((host, port), StoreHandler)
         self.changed = threading.Condition()
         self.items = {}
         self.events = []
@@ -139,25 +139,39 @@
 class Worker(Server):
     """Runs tasks for as long as their spec says, under a lease."""
 
-    def __init__(self, port, name):
-        super().__init__(("127.0.0.1", port), WorkerHandler)
-        self.name, self.port = name, port
-        self.changed = threading.Condition()
-        self.born_at = time.monotonic()
-        self.born_ms = int(time.time() * 1000)
-        self.lease_end = 0
-        self.fence = 0
-        self.running = {}
-        self.ended = []
-        self.last_end = 0
-        self.barred = {}
+    def __init__(self, port, name, host="127.0.0.1", lock=None):
+        super().__init__((host, port), WorkerHandler)
+        self.name = name
+        self.address = f"{host}:{port}"
+        self.changed = threading.Condition(lock)
         self.starts = []
         self.most_cpu = 0
-        self.lose_answers = 0
         self.misdirected = 0
+        # Misbehaviour that tests ask for.
+        self.lose_answers = 0
+        self.late_starts = 0
+        self.late_by_s = 2.0
         self.stuck = False
-        self.sequence = 0
         self.state = "ready"
+        self.on_start = lambda worker, body: None
+        self.on_end = lambda task, how: None
+        self.begin_life(name)
+
+    def begin_life(self, name):
+        """Begins a new life, in which nothing of the old one is known."""
+        with self.changed:
+            self.name = name
+            self.born_at = time.monotonic()
+            self.born_ms = int(time.time() * 1000)
+            self.lease_end = 0
+            self.fence = 0
+            self.running = {}
+            self.ended = []
+            self.last_end = 0
+            self.barred = {}
+            self.sequence = 0
+            self.ticked = 0
+            self.changed.notify_all()
 
     def start(self):
         threading.Thread(target=self.tick, daemon=True).start()
@@ -174,96 +188,106 @@
         self.barred[task] = max(self.barred.get(task, 0), run["run"])
         self.last_end += 1
         self.ended.append([self.last_end, task, run["run"], how, ""])
+        self.on_end(task, how)
         self.changed.notify_all()
 
     def tick(self):
-        ticked = self.clock()
         while True:
             time.sleep(0.002)
             with self.changed:
-                clock = self.clock()
-                passed, ticked = clock - ticked, clock
-                if self.stuck:
-                    for run in self.running.values():
-                        run["end"] += passed
-                for task, run in list(self.running.items()):
-                    if clock >= self.lease_end:
-                        self.end(task, "lapsed")
-                    elif clock >= run["end"]:
-                        self.end(task, run["how"])
+                self.advance()
+
+    def advance(self):
+        """Ends what is over by now."""
+        clock = self.clock()
+        if self.stuck:
+            for run in self.running.values():
+                run["end"] += clock - self.ticked
+        self.ticked = clock
+        for task, run in list(self.running.items()):
+            if clock >= self.lease_end:
+                self.end(task, "lapsed")
+            elif clock >= run["end"]:
+                self.end(task, run["how"])
 
     def percent(self, run):
         return max(0, min(100, 100 - 100 * (run["end"] - self.clock()) // max(run["ms"], 1)))
 
     def announcement(self):
         self.sequence += 1
-        return {"service": "desk", "address": f"127.0.0.1:{self.port}", "zone": "fd-1",
+        return {"service": "desk", "address": self.address, "zone": "fd-1",
                 "version": "v1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
                 "capacity": {"cpu": 4000, "mem_mb": 4096, "gpu": 0}, "labels": ["a", "r1-1"],
                 "clock_ms": self.clock(), "seq": self.sequence, "born": self.born_ms}
 
-
-class WorkerHandler(QuietHandler):
-    def do_POST(self):
-        body = self.body()
-        worker = self.server
-        meant = self.headers.get("X-Tarragonlock-Expect-Instance")
-        with worker.changed:
-            if self.path == "/-/run-start" and meant != worker.name:
-                worker.misdirected += 1
-                return self.answer(421, {"clock_ms": worker.clock()})
-            worker.fence = max(worker.fence, body["fence"])
-            reply = {"clock_ms": worker.clock()}
-            if body["fence"] < worker.fence:
-                return self.answer(409, {**reply, "reason": "fence"})
-            if self.path == "/-/run-start":
-                status = self.start_run(worker, body, reply)
-            elif self.path == "/-/run-stop":
-                status = self.stop_run(worker, body)
-            else:
-                status = self.hold(worker, body, reply)
-            if worker.lose_answers > 0 and self.path != "/-/hold":
-                worker.lose_answers -= 1
-                self.close_connection = True
-                time.sleep(0.3)
-                return None
-        return self.answer(status, reply)
-
-    @staticmethod
-    def start_run(worker, body, reply):
+    def carry_out(self, path, meant, body):
+        """Carries out an order and returns status and reply."""
+        with self.changed:
+            reply = {"clock_ms": self.clock()}
+            if path == "/-/run-start" and meant != self.name:
+                self.misdirected += 1
+                return 421, reply
+            self.fence = max(self.fence, body["fence"])
+            if body["fence"] < self.fence:
+                return 409, {**reply, "reason": "fence"}
+            if path == "/-/run-start":
+                return self.start_run(body, reply), reply
+            if path == "/-/run-stop":
+                return self.stop_run(body), reply
+            return self.hold(body), {"clock_ms": self.clock(), "born": self.born_ms,
+                                     "running": [[t, r["run"], "", self.percent(r)]
+                                                 for t, r in self.running.items()],
+                                     "finished": self.ended[:500]}
+
+    def start_run(self, body, reply):
         task = body["task"]
-        if body["deadline_ms"] <= worker.clock():
+        if body["deadline_ms"] <= self.clock():
             reply["reason"] = "late"
             return 409
-        if body["run"] <= worker.barred.get(task, 0):
+        if body["run"] <= self.barred.get(task, 0):
             reply["reason"] = "old"
             return 409
-        worker.extend(body["deadline_ms"])
-        if task not in worker.running:
+        self.extend(body["deadline_ms"])
+        if task not in self.running:
+            self.on_start(self, body)
             spec = json.loads(body["spec"])
-            worker.running[task] = {"run": body["run"], "end": worker.clock() + spec["ms"],
-                                    "ms": spec["ms"], "how": spec.get("how", "done")}
-            worker.starts.append(task)
-            worker.most_cpu = max(worker.most_cpu, 1000 * len(worker.running))
+            self.running[task] = {"run": body["run"], "end": self.clock() + spec["ms"],
+                                  "ms": spec["ms"], "how": spec.get("how", "done")}
+            self.starts.append(task)
+            self.most_cpu = max(self.most_cpu, 1000 * len(self.running))
         return 200
 
-    @staticmethod
-    def stop_run(worker, body):
+    def stop_run(self, body):
         task = body["task"]
-        worker.barred[task] = max(worker.barred.get(task, 0), body["run"])
-        if task in worker.running:
-            worker.end(task, "stopped")
+        self.barred[task] = max(self.barred.get(task, 0), body["run"])
+        if task in self.running:
+            self.end(task, "stopped")
         return 200
 
-    @staticmethod
-    def hold(worker, body, reply):
+    def hold(self, body):
         if "deadline_ms" in body:
-            worker.extend(body["deadline_ms"])
-        worker.ended = [e for e in worker.ended if e[0] > body["ack_cursor"]]
-        if not worker.ended and body.get("wait_ms"):
-            worker.changed.wait(body["wait_ms"] / 1000)
-        reply.update({"clock_ms": worker.clock(), "born": worker.born_ms,
-                      "running": [[t, r["run"], "", worker.percent(r)]
-                                  for t, r in worker.running.items()],
-                      "finished": worker.ended[:500]})
+            self.extend(body["deadline_ms"])
+        self.ended = [e for e in self.ended if e[0] > body["ack_cursor"]]
+        if not self.ended and body.get("wait_ms"):
+            self.changed.wait(body["wait_ms"] / 1000)
         return 200
+
+
+class WorkerHandler(QuietHandler):
+    def do_POST(self):
+        worker, path, body = self.server, self.path, self.body()
+        meant = self.headers.get("X-Tarragonlock-Expect-Instance")
+        if path == "/-/run-start" and worker.late_starts > 0:
+            worker.late_starts -= 1
+            threading.Timer(worker.late_by_s, worker.carry_out, (path, meant, body)).start()
+            return self.lose_answer()
+        status, reply = worker.carry_out(path, meant, body)
+        if worker.lose_answers > 0 and path != "/-/hold":
+            worker.lose_answers -= 1
+            return self.lose_answer()
+        return self.answer(status, reply)
+
+    def lose_answer(self):
+        """The channel returns nothing further."""
+        self.close_connection = True
+        time.sleep(0.3)
