tools: a fleet keeps its files under its first port

Cause: all fleets of a checkout shared build/run, so `down` took away a fleet beside the one meant, for example that of a running operators test. Ruled out: a folder named by hand, which callers would have to hand to each command.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -49,13 +49,13 @@
 
     def __enter__(self):
         local_fleet.up(self.args)
-        self.members = json.loads(local_fleet.FLEET.read_text())
+        self.members = json.loads(local_fleet.members_file(self.args.port).read_text())
         if not self.args.no_backends:
             self.apply()
         return self
 
     def __exit__(self, *_):
-        local_fleet.down(None)
+        local_fleet.down(self.args)
 
     def http_of(self, role):
         return [p["http"] for p in self.members if p["role"] == role]
--- a/tests/process/fleet_helpers.py
+++ b/tests/process/fleet_helpers.py
@@ -9,8 +9,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BUILD = ROOT / "build"
-FLEET = BUILD / "run" / "fleet.json"
 PORT = 25000
+FLEET = BUILD / "run" / str(PORT) / "fleet.json"
 STORE = f"127.0.0.1:{PORT}"
 ENTRIES = [f"127.0.0.1:{PORT + 200 + i}" for i in range(3)]
 PATIENCE_S = 60
@@ -58,7 +58,7 @@
     try:
         yield
     finally:
-        subprocess.run([ROOT / "tools" / "local_fleet", "down"], check=True)
+        subprocess.run([ROOT / "tools" / "local_fleet", "down", "--port", str(PORT)], check=True)
 
 
 def control(*arguments, check=False):
