connection: time limits of orders are learned; stops are not repeated while one is on its way

Workers answered in more than 20 ms, so every order was given up and made again on a new connection, each 40 ms a stop; that cost the workers more than the answers would have, and went on after the load was gone: all room was held by runs in doubt. Ruled out: a stuck renewal (tasks were returned all the while, the worker listed), lost leases (entries were heard). Change: answer_time learns how long to wait from the answers that come, 20 to 500 ms, and doubles with each time-out; a stop is repeated only when the last one was given up; a refused stop raises the fence.

--- a/include/tarragonlock/common/log.hpp
+++ b/include/tarragonlock/common/log.hpp
@@ -27,6 +27,9 @@
 /// @param lines_per_second  most lines of one event a second; what is left out is counted
 void open_log(const std::string& process, std::string_view level, std::uint32_t lines_per_second);
 
+/// Changes what is written from now on.
+void change_log(std::string_view level, std::uint32_t lines_per_second);
+
 /// Writes what is left and ends logging.
 void close_log();
 
--- a/include/tarragonlock/process/leased_settings.hpp
+++ b/include/tarragonlock/process/leased_settings.hpp
@@ -14,6 +14,8 @@
 /// Settings of an entry of leased jobs. docs/SETTINGS.md lists every key.
 struct leased_entry_settings
 {
+    /// File that the settings were read from.
+    std::string file;
     std::string name;
     std::string failure_domain;
     /// IP number of the host.
@@ -39,6 +41,8 @@
 /// Settings of an agent of leased jobs. docs/SETTINGS.md lists every key.
 struct leased_agent_settings
 {
+    /// File that the settings were read from.
+    std::string file;
     std::string name;
     std::string failure_domain;
     std::string host;
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -2,6 +2,7 @@
 
 #include "tarragonlock/common/time.hpp"
 #include "tarragonlock/connection/lease_message.hpp"
+#include "tarragonlock/process/service_levels.hpp"
 #include "tarragonlock/process/worker_health.hpp"
 #include "tarragonlock/request/leased_job.hpp"
 
@@ -228,6 +229,8 @@
     /// @return whether nothing runs or waits.
     bool idle() const { return tasks_.empty(); }
     const task_host_counters& counters() const { return counters_; }
+    /// @return run times and outcomes by priority; the objective is the declared run time.
+    const service_levels& levels() const { return levels_; }
     /// @return the newest configuration that an entry has sent; version 0 when none has.
     const configuration_copy& configuration() const { return configuration_; }
     const std::optional<worker_announcement>& worker() const { return worker_; }
@@ -263,6 +266,8 @@
         instant started;
         /// Whether the worker answered the present order.
         bool answered = false;
+        /// Whether the present order is still on its way.
+        bool order_open = false;
         /// Number of the first renewal whose answer tells for sure whether the run is there.
         std::uint64_t listed_from = 0;
         /// Whether its start was not answered, and it has not been seen running since.
@@ -301,6 +306,7 @@
     void start_waiting(instant now);
     void order_start(instant now, hosted_task& task);
     void order_stop(instant now, hosted_task& task);
+    void raise_fence();
     void withdraw(instant now, task_map::iterator task, instant must_end_by);
     task_map::iterator finish(instant now, task_map::iterator task, task_end_kind kind);
     void return_waiting(instant now);
@@ -315,6 +321,7 @@
     duration busy_report_interval() const;
     bool may_start(instant now) const;
     bool lease_is_fresh(instant now, channel_id channel) const;
+    void record(instant now, const hosted_task& task, task_end_kind kind);
     void learn_duration(const hosted_task& task, instant now);
     /// @param number  that of the renewal which asked for the listing
     void reconcile(instant now, std::uint64_t number, const run_listing& listing);
@@ -373,6 +380,7 @@
     double actual_ms_ = 0.0;
     double declared_ms_ = 0.0;
     worker_health health_;
+    service_levels levels_;
     configuration_copy configuration_;
     std::vector<host_effect> effects_;
     task_host_counters counters_;
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -58,6 +58,12 @@
     return spdlog::level::info;
 }
 
+void set_limits(log_state& log, std::string_view level, std::uint32_t lines_per_second)
+{
+    log.lines_per_second = lines_per_second;
+    log.logger->set_level(spdlog::level::from_str(level == "error" ? "err" : std::string(level)));
+}
+
 } // namespace
 
 void open_log(const std::string& process, std::string_view level, std::uint32_t lines_per_second)
@@ -65,12 +71,19 @@
     auto& log = state();
     const std::lock_guard lock(log.mutex);
     log.process = process;
-    log.lines_per_second = lines_per_second;
     spdlog::init_thread_pool(waiting_lines, 1);
     log.logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("json");
     log.logger->set_pattern("%v");
-    log.logger->set_level(spdlog::level::from_str(level == "error" ? "err" : std::string(level)));
     log.logger->flush_on(spdlog::level::info);
+    set_limits(log, level, lines_per_second);
+}
+
+void change_log(std::string_view level, std::uint32_t lines_per_second)
+{
+    auto& log = state();
+    const std::lock_guard lock(log.mutex);
+    if (log.logger)
+        set_limits(log, level, lines_per_second);
 }
 
 void close_log()
--- a/src/connection/loop_http_client.cpp
+++ b/src/connection/loop_http_client.cpp
@@ -62,19 +62,26 @@
     std::optional<pending_call> call;
     bool sent = false;
     instant dialled;
+    /// When the present call was given to this connection.
+    instant began;
 };
 
 class client : public loop_http_client
 {
 public:
-    client(asio::io_context& loop, std::string address, std::size_t max_connections)
+    client(asio::io_context& loop, std::string address, std::size_t max_connections,
+           std::optional<answer_time_bounds> learned)
         : loop_(loop), address_(std::move(address)), max_connections_(max_connections)
     {
+        if (learned)
+            answers_.emplace(*learned);
     }
 
     void call(http_call request, handler on_reply) override
     {
-        const auto deadline = process_clock::now() + request.timeout;
+        const auto limit =
+            answers_ ? std::min(answers_->limit(), request.timeout) : request.timeout;
+        const auto deadline = process_clock::now() + limit;
         queue_.push_back({std::move(request), std::move(on_reply), deadline});
         begin_calls();
     }
@@ -97,6 +104,8 @@
                                (!busy->sent && now - busy->dialled > connect_limit)))
                 late.push_back(busy);
         }
+        if (answers_ && !late.empty())
+            answers_->on_timeout(now);
         for (const auto& each : late)
             fail(each,
                  each->sent ? http_client_error::no_answer : http_client_error::not_connected);
@@ -123,6 +132,7 @@
             else
                 chosen = std::make_shared<connection>(loop_);
             chosen->call = std::move(next);
+            chosen->began = process_clock::now();
             busy_.push_back(chosen);
             if (chosen->socket.is_open())
                 send(chosen);
@@ -206,6 +216,8 @@
     {
         auto message = chosen->parser->release();
         auto done = std::move(*chosen->call);
+        if (answers_)
+            answers_->on_answer(process_clock::now() - chosen->began);
         chosen->call.reset();
         chosen->sent = false;
         std::erase(busy_, chosen);
@@ -231,6 +243,7 @@
     asio::io_context& loop_;
     std::string address_;
     std::size_t max_connections_;
+    std::optional<answer_time> answers_;
     std::deque<pending_call> queue_;
     std::vector<std::shared_ptr<connection>> busy_;
     std::vector<std::shared_ptr<connection>> idle_;
@@ -245,9 +258,10 @@
 }
 
 std::unique_ptr<loop_http_client>
-loop_http_client::create(asio::io_context& loop, std::string address, std::size_t max_connections)
+loop_http_client::create(asio::io_context& loop, std::string address, std::size_t max_connections,
+                         std::optional<answer_time_bounds> learned)
 {
-    return std::make_unique<client>(loop, std::move(address), max_connections);
+    return std::make_unique<client>(loop, std::move(address), max_connections, learned);
 }
 
 } // namespace tarragonlock
--- a/src/connection/loop_http_client.hpp
+++ b/src/connection/loop_http_client.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "tarragonlock/common/time.hpp"
+#include "tarragonlock/connection/answer_time.hpp"
 
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <utility>
@@ -48,8 +50,11 @@
 public:
     using handler = std::function<void(std::error_code, http_reply)>;
 
+    /// @param learned  bounds of the time that a call may take, when that is to be learned from the
+    ///                 server's answers; a call's own timeout holds besides
     static std::unique_ptr<loop_http_client>
-    create(boost::asio::io_context& loop, std::string address, std::size_t max_connections);
+    create(boost::asio::io_context& loop, std::string address, std::size_t max_connections,
+           std::optional<answer_time_bounds> learned = std::nullopt);
     virtual ~loop_http_client() = default;
     loop_http_client() = default;
     loop_http_client(const loop_http_client&) = delete;
--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "process/leased_entry_daemon.hpp"
 #include "process/metrics_text.hpp"
+#include "process/settings_reload.hpp"
 #include "tarragonlock/common/log.hpp"
 
 namespace tarragonlock
@@ -31,7 +32,8 @@
       store_(*protocols_.store, {entry_key_prefix},
              [this](const store_event& event) { on_store_event(event); }),
       process_(loop, {[this](instant now) { on_tick(now); }, [this](instant now) { on_stop(now); },
-                      [this] { return metrics(); }, [this] { return !host_.idle(); }})
+                      [this] { reload_settings(settings_); }, [this] { return metrics(); },
+                      [this] { return !host_.idle(); }})
 {
     channels_ =
         frame_channels::create(loop, {[this](channel_id channel)
@@ -275,7 +277,7 @@
            counter_text("store_calls_total", store_.calls()) +
            gauge_text("tasks_waiting", host_.waiting()) +
            gauge_text("tasks_running", host_.running()) +
-           counter_text("log_lines_dropped_total", dropped_log_lines());
+           counter_text("log_lines_dropped_total", dropped_log_lines()) + host_.levels().metrics();
 }
 
 } // namespace tarragonlock
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -1,6 +1,7 @@
 #include "process/leased_entry_daemon.hpp"
 
 #include "process/metrics_text.hpp"
+#include "process/settings_reload.hpp"
 #include "tarragonlock/common/log.hpp"
 
 namespace tarragonlock
@@ -32,7 +33,8 @@
       store_(*protocols_.store, {protocols_.configuration->key_prefix()},
              [this](const store_event& event) { on_store_event(event); }),
       process_(loop, {[this](instant now) { on_tick(now); }, [this](instant now) { on_stop(now); },
-                      [this] { return metrics(); }, [this] { return !dispatcher_.idle(); }})
+                      [this] { reload_settings(settings_); }, [this] { return metrics(); },
+                      [this] { return !dispatcher_.idle(); }})
 {
     channels_ = frame_channels::create(
         loop, {[this](channel_id channel)
--- a/src/process/leased_settings.cpp
+++ b/src/process/leased_settings.cpp
@@ -35,6 +35,7 @@
                        "caller_resend_ms", "grace_s", "max_body_bytes", "remote_data_factor",
                        "log"});
     leased_entry_settings settings;
+    settings.file = file;
     settings.name = reader.required_text("name");
     settings.failure_domain = reader.required_text("failure_domain");
     settings.host = reader.required_text("host");
@@ -67,6 +68,7 @@
                        "metrics_port", "store", "entry_hints", "caller_resend_ms",
                        "execution_lease_ms", "announcement_lifetime_ms", "grace_s", "log"});
     leased_agent_settings settings;
+    settings.file = file;
     settings.name = reader.required_text("name");
     settings.failure_domain = reader.required_text("failure_domain");
     settings.host = reader.required_text("host");
--- a/src/process/loop_process.cpp
+++ b/src/process/loop_process.cpp
@@ -70,8 +70,10 @@
             if (error)
                 return;
             if (signal == SIGHUP)
-                // Addresses and limits hold for the life of a process; the next start reads them.
+            {
                 log_event(log_level::info, "reload_requested");
+                events_.on_reload();
+            }
             else if (!std::exchange(stopping_, true))
             {
                 log_event(log_level::info, "stop_requested");
--- a/src/process/loop_process.hpp
+++ b/src/process/loop_process.hpp
@@ -24,6 +24,8 @@
         std::function<void(instant)> on_tick;
         /// SIGTERM or SIGINT, the first time.
         std::function<void(instant)> on_stop;
+        /// SIGHUP.
+        std::function<void()> on_reload;
         std::function<std::string()> metrics;
         /// @return whether ticks are to come often, because something is under way.
         std::function<bool()> busy;
--- /dev/null
+++ b/src/process/settings_reload.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "tarragonlock/common/diagnostic.hpp"
+#include "tarragonlock/common/log.hpp"
+#include "tarragonlock/process/settings.hpp"
+
+#include <string>
+
+namespace tarragonlock
+{
+
+/// Reads a daemon's settings file again and puts its log settings in force. Addresses and limits
+/// hold for the life of a process, so a change of them is only told. A faulty file changes nothing.
+/// @param current  what is in force; its log settings are replaced
+template<class Settings>
+void reload_settings(Settings& current)
+{
+    diagnostics faults;
+    const auto text = read_file(current.file);
+    const auto fresh =
+        text ? Settings::parse(text.value(), current.file, faults) : result<Settings>(text.error());
+    if (!fresh)
+    {
+        log_event(
+            log_level::error, "reload_failed",
+            {{"file", current.file},
+             {"error", faults.empty() ? fresh.error().message() : to_string(faults.front())}});
+        return;
+    }
+    current.log = fresh.value().log;
+    change_log(current.log.level, current.log.lines_per_second);
+    log_event(log_level::info, "reloaded",
+              {{"log_level", current.log.level},
+               {"lines_per_second", current.log.lines_per_second},
+               {"restart_needed", fresh.value() == current ? 0 : 1}});
+}
+
+} // namespace tarragonlock
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -20,6 +20,8 @@
 constexpr auto load_interval = milliseconds(5);
 /// An unanswered stop is sent again after this time.
 constexpr auto stop_retry = milliseconds(40);
+/// The same for a run of unknown origin.
+constexpr auto stranger_retry = milliseconds(100);
 /// A worker that refused as unhealthy is left alone for this time.
 constexpr auto unwilling_pause = milliseconds(200);
 /// How long run numbers of ended tasks are remembered; longer than late orders take.
@@ -163,7 +165,10 @@
 {
     auto& hosted = task->second;
     if (hosted.state != task_state::waiting)
+    {
         free_ += hosted.demand;
+        record(now, hosted, kind);
+    }
     const auto run_time = hosted.started == instant{} ? duration(0) : now - hosted.started;
     const auto run_ms = std::chrono::duration_cast<milliseconds>(run_time).count();
     if (kind == task_end_kind::done)
@@ -196,6 +201,17 @@
     return tasks_.erase(task);
 }
 
+void task_host::record(instant now, const hosted_task& task, task_end_kind kind)
+{
+    const auto what = kind == task_end_kind::done     ? outcome::complete
+                      : kind == task_end_kind::failed ? outcome::failed
+                                                      : outcome::unknown;
+    service_objective objective;
+    objective.response_ms = task.estimate_ms;
+    levels_.record(now, {worker_->service, "", task.priority}, objective, what,
+                   std::chrono::duration_cast<milliseconds>(now - task.started));
+}
+
 void task_host::learn_duration(const hosted_task& task, instant now)
 {
     // Weight of the newest run; about the last thirty runs count.
@@ -291,6 +307,7 @@
 {
     task.state = task_state::stopping;
     task.answered = false;
+    task.order_open = true;
     task.order_sent = now;
     effects_.emplace_back(stop_order{task.run, fence_});
 }
@@ -348,12 +365,7 @@
         // Either the fence was raised while the order was on its way, or an earlier process of this
         // agent had a clock that was ahead of this one's.
         if (task->order_fence == fence_)
-        {
-            fence_ += fence_step_;
-            fence_step_ *= 2;
-            log_event(log_level::warn, "fence_raised",
-                      {{"fence", static_cast<std::int64_t>(fence_)}});
-        }
+            raise_fence();
         order_start(now, *task);
         return;
     case start_reply::lease_over:
@@ -380,11 +392,23 @@
     finish(now, tasks_.find({run.job, run.step, run.index}), task_end_kind::not_started);
 }
 
+void task_host::raise_fence()
+{
+    fence_ += fence_step_;
+    fence_step_ *= 2;
+    log_event(log_level::warn, "fence_raised", {{"fence", static_cast<std::int64_t>(fence_)}});
+}
+
 void task_host::on_stop_reply(instant now, const run_key& run, stop_reply reply)
 {
-    if (reply != stop_reply::accepted)
+    auto* task = find(run);
+    if (task == nullptr || task->state != task_state::stopping)
         return;
-    if (auto* task = find(run); task != nullptr && task->state == task_state::stopping)
+    task->order_open = false;
+    // Without the worker's highest fence nothing could be stopped, and so nothing started.
+    if (reply == stop_reply::refused)
+        raise_fence();
+    if (reply == stop_reply::accepted)
     {
         task->answered = true;
         task->listed_from = last_renewal_ + 1;
@@ -504,13 +528,13 @@
 {
     for (auto& [id, task] : tasks_)
     {
-        if (task.state == task_state::stopping && !task.answered &&
+        if (task.state == task_state::stopping && !task.answered && !task.order_open &&
             now - task.order_sent >= stop_retry)
             order_stop(now, task);
     }
     for (auto& [run, sent] : strangers_)
     {
-        if (now - sent < stop_retry)
+        if (now - sent < stranger_retry)
             continue;
         sent = now;
         effects_.emplace_back(stop_order{run, fence_});
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -302,15 +302,25 @@
            const auto reply = agents_[agent].worker->stop(now_, order);
            note("stop " + order.run.job + "/" + std::to_string(order.run.index) + " run " +
                 std::to_string(order.run.run) + " on worker-" + std::to_string(agent));
-           if (lost || agents_[agent].life != life)
-               return;
-           call(agents_[agent],
-                [this, agent, run = order.run, reply]
-                {
-                    agents_[agent].core->on_stop_reply(now_, run, reply);
-                    pump_agent(agent);
-                });
+           if (!lost)
+               stop_answered(agent, life, order.run, reply);
        });
+    if (lost)
+        at(order_timeout, [this, agent, life, run = order.run]
+           { stop_answered(agent, life, run, stop_reply::no_answer); });
+}
+
+void leased_fleet::stop_answered(std::size_t agent, std::uint64_t life, const run_key& run,
+                                 stop_reply reply)
+{
+    if (agents_[agent].life != life)
+        return;
+    call(agents_[agent],
+         [this, agent, run, reply]
+         {
+             agents_[agent].core->on_stop_reply(now_, run, reply);
+             pump_agent(agent);
+         });
 }
 
 void leased_fleet::answer_renewals(std::size_t index)
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -158,6 +158,7 @@
     void connect_all();
     void order(std::size_t agent, const start_order& order);
     void order(std::size_t agent, const stop_order& order);
+    void stop_answered(std::size_t agent, std::uint64_t life, const run_key& run, stop_reply reply);
     void answer_renewals(std::size_t agent);
     void submit(const std::string& id);
     void send_new_jobs();
--- a/tests/process/leased_fleet_test.py
+++ b/tests/process/leased_fleet_test.py
@@ -133,6 +133,9 @@
            "what is not supported is refused")
     status, text = call(f"{HOSTS[0]}:{PORT + 3}", "GET", "/metrics")
     expect(status == 200 and "tarragonlock_jobs_completed_total" in text, "metrics are served")
+    status, text = call(f"127.0.0.1:{PORT + 50}", "GET", "/metrics")
+    expect(status == 200 and 'tarragonlock_response_ms_bucket{service="desk"' in text,
+           "an agent serves run times")
 
 
 def check_flood(fleet):
@@ -212,6 +215,21 @@
                "changes come through after the outage")
 
 
+def check_reload(fleet):
+    settings, log = (fleet.folder / f"agent-0.{kind}" for kind in ("yaml", "log"))
+    text = settings.read_text(encoding="utf-8")
+    settings.write_text(text + "log: {level: debug, lines_per_second: 40}\n", encoding="utf-8")
+    fleet.processes.signal("agent", 0, signal.SIGHUP)
+    eventually(lambda: '"event":"reloaded","log_level":"debug","lines_per_second":40,'
+                       '"restart_needed":0' in log.read_text(encoding="utf-8"),
+               "changed log settings are in force after SIGHUP")
+    settings.write_text(text + "grace_s: none\n", encoding="utf-8")
+    fleet.processes.signal("agent", 0, signal.SIGHUP)
+    eventually(lambda: '"event":"reload_failed"' in log.read_text(encoding="utf-8"),
+               "a faulty settings file is told and changes nothing")
+    settings.write_text(text, encoding="utf-8")
+
+
 def check_graceful_stop(fleet):
     path, body = job(500, tasks=2, run_ms=900)
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
@@ -253,7 +271,7 @@
             for worker in fleet.workers:
                 worker.starts.clear()
             for check in (check_calm, check_flood, check_lost_answers, check_stalled_worker,
-                          check_entry_killed, check_agent_killed, check_configuration, check_graceful_stop,
+                          check_entry_killed, check_agent_killed, check_configuration, check_reload, check_graceful_stop,
                           check_drain, check_logs):
                 check(fleet)
         finally:
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -235,6 +235,23 @@
     BOOST_TEST((f.ends[0].kind == task_end_kind::stopped));
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_stop_is_sent_again_when_it_was_not_answered_and_with_a_higher_fence_when_refused)
+{
+    fixture f;
+    f.place(entry_a, "one");
+    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::accepted, 5000);
+    f.host->on_message(f.now, entry_a, withdraw_job{"one"});
+    f.take();
+    BOOST_REQUIRE_EQUAL(f.stops.size(), 1U);
+    f.pass(milliseconds(200), {entry_a, entry_b});
+    BOOST_TEST(f.stops.size() == 1U);
+    f.host->on_stop_reply(f.now, f.stops[0].run, stop_reply::refused);
+    f.pass(milliseconds(60), {entry_a, entry_b});
+    BOOST_REQUIRE_EQUAL(f.stops.size(), 2U);
+    BOOST_TEST(f.stops[1].fence > f.stops[0].fence);
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_falls_silent_loses_its_tasks_only)
 {
     fixture f;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -347,6 +347,22 @@
             time.sleep(0.1)
         self.violate(text)
 
+    def keep_metrics(self):
+        """Writes what each process counted beside its log."""
+        for role, index in list(self.processes.running):
+            host = self.host(index) if role == "entry" else f"{self.net}.1"
+            port = self.port("metrics") if role == "entry" else self.port("agent_metrics") + index
+            connection = http.client.HTTPConnection(host, port, timeout=2)
+            try:
+                connection.request("GET", "/metrics")
+                text = connection.getresponse().read().decode()
+            except (OSError, http.client.HTTPException) as error:
+                text = f"none: {error}\n"
+            finally:
+                connection.close()
+            path = pathlib.Path(self.folder) / f"{role}-{index}.metrics"
+            path.write_text(text, encoding="utf-8")
+
     def ask(self, entry, method, path, body=None):
         connection = http.client.HTTPConnection(self.host(entry), self.port("callers"), timeout=5)
         try:
@@ -366,6 +382,8 @@
                             f"entry-{entry} does not have the newest configuration")
         before = self.served
         self.eventually(lambda: self.served >= before + 20, "the fleet does not serve again")
+        if self.violations:
+            self.keep_metrics()
         self.calling = False
         self.eventually(lambda: not any(w.running for w in self.workers), "something runs on")
         for job in list(self.jobs.values()):
