--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,7 +5,8 @@
 
 Each seed plays a random series of faults for T seconds while callers submit jobs, then calms down
 and expects the fleet to serve again. What callers and workers saw is checked while it runs. A seed
-fixes the faults and their order, not the timing of the machine. The last line counts the seeds.
+fixes what each of the two series of faults draws, not the timing of the machine. The last line
+counts the seeds.
 """
 import argparse
 import concurrent.futures
@@ -35,6 +36,7 @@
 RECOVERY_S = 20           # the users ask for 12 s; the rest is for a busy machine
 PLANNED_SLACK_S = 0.2     # a request sent just as an idle connection closes may be cut
 CALM_BEFORE_S = 3.0       # a planned stop is judged when no fault was near for so long
+TASK_CPU, WORKER_CPU = 1000, 4000
 PORTS = {"callers": 1, "ready": 2, "metrics": 3, "peers": 20, "proxied_peers": 21,
          "agents": 40, "agent_metrics": 50, "workers": 60, "proxied_workers": 70, "store": 80,
          "proxied_store": 81}
@@ -57,7 +59,7 @@
 class Soak:
     def __init__(self, seed, seconds, slot, folder):
         self.seed, self.seconds, self.folder = seed, seconds, folder
-        self.chance = random.Random(seed)
+        self.series = threading.local()
         self.net = f"127.0.{50 + slot}"
         self.base = 29000 + 100 * slot
         self.violations, self.events = [], []
@@ -88,6 +90,11 @@
                                            (self.host(i), port("peers"))) for i in range(ENTRIES)]
         self.processes = LeasedProcesses(folder, self.settings)
 
+    @property
+    def chance(self):
+        """The random numbers of the series of faults that runs in this thread."""
+        return self.series.chance
+
     def port(self, name):
         return self.base + PORTS[name]
 
@@ -136,7 +143,7 @@
             return
         job["started"] = True
         worker.advance()
-        if 1000 * (len(worker.running) + 1) > 4000:
+        if TASK_CPU * (len(worker.running) + 1) > WORKER_CPU:
             self.violate(f"{worker.name} is over its capacity")
         for other in self.workers:
             other.advance()
@@ -176,7 +183,7 @@
                    "statuses": [], "spec": json.dumps({"ms": run_ms}), "done": set()}
             self.jobs[job["id"]] = job
             body = {"spec": job["spec"], "best_effort": True,
-                    "steps": [{"count": tasks, "cpu": 1000, "mem_mb": 64,
+                    "steps": [{"count": tasks, "cpu": TASK_CPU, "mem_mb": 64,
                                "estimate_ms": max(1, int(run_ms * chance.uniform(0.7, 1.4)))}]}
             entry = home
             for _ in range(3):
@@ -256,7 +263,8 @@
                 self.violate(f"{role}-{index} did not end by itself")
             self.processes.start(role, index)
             time.sleep(self.chance.uniform(0.5, 1.5))
-            self.leaving.pop(index, None) if role == "entry" else None
+            if role == "entry":
+                self.leaving.pop(index, None)
 
     def disturb_links(self):
         proxy = self.chance.choice(self.peer_proxies + self.worker_proxies + [self.store_proxy])
@@ -312,20 +320,22 @@
     UNPLANNED = ("kill", "pause", "disturb_links", "lose_orders", "replace_worker",
                  "stall_worker", "store_outage")
 
-    def play_faults(self, role):
+    def may_begin(self, name, busy):
+        """Whether a fault may run beside those that do; one series at a time ends processes."""
+        ends_processes = {"kill", "pause", "roll"}
+        return name not in busy and not (name in ends_processes and busy & ends_processes)
+
+    def play_faults(self, number, shared):
         """One of two series of faults, which overlap; the same fault never runs in both."""
+        self.series.chance = random.Random(f"{self.seed}-faults-{number}")
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
             planned = self.chance.random() < 0.25
             name = self.chance.choice(self.PLANNED if planned else self.UNPLANNED)
-            with role["lock"]:
-                if name in role["busy"]:
+            with shared["lock"]:
+                if not self.may_begin(name, shared["busy"]):
                     continue
-                # Processes are started and ended by one series at a time.
-                if name in ("kill", "pause", "roll"):
-                    if role["busy"] & {"kill", "pause", "roll"}:
-                        continue
-                role["busy"].add(name)
+                shared["busy"].add(name)
             try:
                 if not planned:
                     self.last_fault = time.monotonic()
@@ -333,8 +343,8 @@
                 if not planned:
                     self.last_fault = time.monotonic()
             finally:
-                with role["lock"]:
-                    role["busy"].discard(name)
+                with shared["lock"]:
+                    shared["busy"].discard(name)
             time.sleep(self.chance.uniform(0.1, 1.5 if planned else 0.8))
 
     # The whole.
@@ -404,7 +414,8 @@
                 thread.start()
             self.eventually(lambda: self.served >= 10, "the fleet does not begin to serve")
             shared = {"lock": threading.Lock(), "busy": set()}
-            series = [threading.Thread(target=self.play_faults, args=(shared,)) for _ in range(2)]
+            series = [threading.Thread(target=self.play_faults, args=(i, shared))
+                      for i in range(2)]
             for thread in series:
                 thread.start()
             for thread in series:
