process: two comments say what the code does

Cause: one said that no earlier step of a job can have been sent, which is not so when two steps are ready at once (docs/design/0005-overload.md, open); the other was hard to read. Change: comments only; the formatter is clean.

--- a/include/tarragonlock/process/worker_health.hpp
+++ b/include/tarragonlock/process/worker_health.hpp
@@ -33,7 +33,7 @@
     instant rests_until_;
     duration next_rest_ = first_rest;
 
-    /// Rest after the first failures; the worst outage of a trial is one task's delay.
+    /// Rest after the first failures. A trial that fails delays one task.
     static constexpr duration first_rest = std::chrono::milliseconds(500);
 };
 
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -262,7 +262,7 @@
             chosen[candidates[best].worker].push_back(index);
         }
         if (whole_only && !placed_all)
-            return false; // Nothing of this step is sent, and no earlier one was ready.
+            return false; // Nothing of this step is sent; an earlier one may have been.
         for (auto& each : workers)
         {
             if (const auto taken = chosen.find(each.worker); taken != chosen.end())
