tests: policies under heavy load are compared with perfect knowledge and a bound

compare_overload plays the load patterns as shipped, with one entry that sees every change at once and true declared times, and prints the most that any schedule could do. The patterns moved to fakes/load_patterns.

The generator sent one job of a queue a millisecond at most, so large floods were smaller than named; it sends all of them now.

--- /dev/null
+++ b/tests/compare_overload.cpp
@@ -0,0 +1,86 @@
+// Plays load patterns with the shipped policy, with perfect knowledge, and against a bound.
+
+#include "fakes/load_patterns.hpp"
+
+#include <docopt/docopt.h>
+
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <string>
+
+namespace
+{
+
+using namespace tarragonlock;
+using fakes::leased_fleet_options;
+
+constexpr auto usage = R"(Compares the share of jobs in time under heavy load, by queue.
+
+Usage:
+  compare_overload [--seeds N] [--pattern TEXT]
+
+Options:
+  --seeds N       Seeds to play each pattern with [default: 4].
+  --pattern TEXT  Only the patterns whose name contains this [default: ].
+
+For each pattern and queue it prints the share in time and, in brackets, the share that is complete:
+as shipped; with one entry that sees every change at once and true declared times; and the most that
+any schedule could do if jobs were divisible at will.
+)";
+
+struct shares
+{
+    double jobs = 0.0;
+    double in_time = 0.0;
+    double completed = 0.0;
+    double bound = 0.0;
+};
+
+std::map<std::string, shares> play(leased_fleet_options options, std::uint64_t seeds)
+{
+    std::map<std::string, shares> total;
+    for (options.seed = 1; options.seed <= seeds; ++options.seed)
+    {
+        auto result = fakes::leased_fleet(options).run();
+        for (const auto& violation : result.violations)
+            std::cerr << "violation with seed " << options.seed << ": " << violation << '\n';
+        for (const auto& [name, queue] : result.queues)
+        {
+            auto& sum = total[name];
+            sum.jobs += static_cast<double>(queue.jobs);
+            sum.in_time += static_cast<double>(queue.in_time);
+            sum.completed += static_cast<double>(queue.completed);
+            sum.bound += result.bound[name];
+        }
+    }
+    return total;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto arguments = docopt::docopt(usage, {argv + 1, argv + argc});
+    const auto seeds = static_cast<std::uint64_t>(arguments["--seeds"].asLong());
+    const auto wanted = arguments["--pattern"].asString();
+    std::cout << std::fixed << std::setprecision(3);
+    for (const auto& [name, options] : fakes::load_patterns())
+    {
+        if (name.find(wanted) == std::string::npos)
+            continue;
+        const auto shipped = play(options, seeds);
+        auto informed = play(fakes::with_perfect_knowledge(options), seeds);
+        std::cout << name << '\n';
+        for (const auto& [queue, sum] : shipped)
+        {
+            const auto& best = informed[queue];
+            std::cout << "  " << std::left << std::setw(8) << queue << " shipped "
+                      << sum.in_time / sum.jobs << " (" << sum.completed / sum.jobs
+                      << "), perfect knowledge " << best.in_time / best.jobs << " ("
+                      << best.completed / best.jobs << "), bound " << sum.bound / sum.jobs << '\n';
+        }
+        std::cout.flush();
+    }
+    return 0;
+}
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -1,6 +1,7 @@
 #include "fakes/leased_fleet.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace tarragonlock::fakes
 {
@@ -11,14 +12,21 @@
 using std::chrono::milliseconds;
 
 constexpr auto resend_delay = milliseconds(1300);
-constexpr auto link_delay = milliseconds(1);
 constexpr auto order_delay = std::chrono::microseconds(200);
 constexpr auto order_timeout = milliseconds(250);
 constexpr auto heartbeat = milliseconds(1500);
 constexpr auto tick = milliseconds(20);
+/// When callers begin to send jobs.
+constexpr auto traffic_begin = std::chrono::seconds(2);
 /// Jobs sent before are not counted: how fast a worker is is not known until it has run some tasks.
 constexpr auto warm_up = milliseconds(3500);
 
+double worker_speed(std::size_t index)
+{
+    constexpr std::array speeds{0.6, 1.0, 1.6};
+    return speeds.at(index % speeds.size());
+}
+
 } // namespace
 
 leased_fleet::leased_fleet(const leased_fleet_options& options)
@@ -108,7 +116,7 @@
         return;
     // The reset does not pass a cut either.
     if (tell_entry && link.to_entry)
-        at(link_delay,
+        at(options_.link_delay,
            [this, entry, channel, life = entries_[entry].life]
            {
                if (entries_[entry].life == life)
@@ -120,7 +128,7 @@
                         });
            });
     if (tell_agent && link.to_agent)
-        at(link_delay,
+        at(options_.link_delay,
            [this, agent, channel, life = agents_[agent].life]
            {
                if (agents_[agent].life == life)
@@ -144,7 +152,7 @@
         (to_entry ? link.held_for_entry : link.held_for_agent).push_back(std::move(body));
         return;
     }
-    at(link_delay,
+    at(options_.link_delay,
        [this, entry, agent, channel, body = std::move(body), to_entry]
        {
            // What was sent before a close still arrives; what comes for a closed end is dropped.
@@ -449,6 +457,11 @@
     }
 }
 
+duration leased_fleet::allowed_time(const caller_job& job)
+{
+    return milliseconds(job.work_ms * 16 / 10 + job.rule.objective_ms);
+}
+
 void leased_fleet::count(const caller_job& job, const leased_answer& reply)
 {
     if (!job.counted)
@@ -460,8 +473,7 @@
     if (reply.outcome != leased_outcome::completed)
         return;
     ++queue.completed;
-    const duration allowed = milliseconds(job.work_ms * 16 / 10 + job.rule.objective_ms);
-    queue.in_time += took <= allowed ? 1 : 0;
+    queue.in_time += took <= allowed_time(job) ? 1 : 0;
 }
 
 void leased_fleet::send_new_jobs()
@@ -471,31 +483,58 @@
     for (std::size_t i = 0; i < options_.traffic.size(); ++i)
     {
         const auto& queue = options_.traffic[i];
-        if (now_ < next_jobs_[i])
-            continue;
         const bool flooded =
             elapsed >= queue.flood_from && elapsed < queue.flood_from + queue.flood_for;
         const auto rate = queue.jobs_per_s * (flooded ? queue.flood : 1.0);
-        next_jobs_[i] = now_ + std::chrono::duration_cast<duration>(
-                                   std::chrono::duration<double>(gap(random_) / rate));
-        const auto id = queue.queue + "-" + std::to_string(++result_.jobs);
-        auto& job = jobs_[id];
-        job.counted = elapsed >= warm_up;
-        result_.queues[queue.queue].jobs += job.counted ? 1 : 0;
-        job.rule = rule_;
-        job.rule.name = queue.queue;
-        job.rule.priority = queue.priority;
-        job.rule.stretch = 1.6;
-        job.rule.objective_ms = 60;
-        job.work_ms = queue.work_ms;
-        job.first_sent = now_;
-        job_step step;
-        step.task_count = queue.tasks;
-        step.demand = {1600, 64, 0};
-        step.estimate_ms = queue.work_ms * (60 + static_cast<std::uint32_t>(below(81))) / 100;
-        job.request = {id, "spec", {step}, 4000};
-        submit(id);
+        while (next_jobs_[i] <= now_)
+        {
+            next_jobs_[i] += std::chrono::duration_cast<duration>(
+                std::chrono::duration<double>(gap(random_) / rate));
+            send_job(queue);
+        }
+    }
+}
+
+void leased_fleet::send_job(const queue_traffic& queue)
+{
+    const auto id = queue.queue + "-" + std::to_string(++result_.jobs);
+    auto& job = jobs_[id];
+    job.counted = now_ - instant(std::chrono::hours(1)) >= warm_up;
+    result_.queues[queue.queue].jobs += job.counted ? 1 : 0;
+    job.rule = rule_;
+    job.rule.name = queue.queue;
+    job.rule.priority = queue.priority;
+    job.rule.stretch = 1.6;
+    job.rule.objective_ms = 60;
+    job.work_ms = queue.work_ms;
+    job.first_sent = now_;
+    job_step step;
+    step.task_count = queue.tasks;
+    step.demand = {1600, 64, 0};
+    const auto error = options_.estimate_error;
+    const auto percent = 100 - error + static_cast<std::uint32_t>(below(2 * error + 1));
+    step.estimate_ms = queue.work_ms * percent / 100;
+    job.request = {id, "spec", {step}, 4000};
+    result_.offered.push_back({queue.queue, now_, now_ + allowed_time(job),
+                               milliseconds(queue.work_ms * queue.tasks), job.counted});
+    submit(id);
+}
+
+/// @return run time that the workers work off per unit of time
+double leased_fleet::fleet_speed_at(instant when) const
+{
+    const auto elapsed = when - instant(std::chrono::hours(1));
+    const bool lost = elapsed >= options_.lost_at;
+    const bool stalled =
+        elapsed >= options_.stalled_at && elapsed < options_.stalled_at + options_.stalled_for;
+    double sum = 0.0;
+    for (std::size_t i = 0; i < agents_.size(); ++i)
+    {
+        if ((lost && i < options_.lost_agents) || (stalled && i < options_.stalled_workers))
+            continue;
+        sum += worker_speed(i) * options_.tasks_per_worker;
     }
+    return sum;
 }
 
 void leased_fleet::end_process(bool is_entry, std::size_t index, bool silent)
@@ -644,13 +683,12 @@
         start_entry(i);
     for (std::size_t i = 0; i < agents_.size(); ++i)
     {
-        const double speed = i % 3 == 0 ? 0.6 : i % 3 == 1 ? 1.0 : 1.6;
         agents_[i].worker = std::make_unique<virtual_worker>(
             virtual_worker::options{
                 "worker-" + std::to_string(i),
                 resource_amount{1600 * static_cast<std::int64_t>(options_.tasks_per_worker), 65'536,
                                 0},
-                speed, i % 2 == 0 ? 0.98 : 1.0},
+                worker_speed(i), i % 2 == 0 ? 0.98 : 1.0},
             ledger_);
         agents_[i].worker->restart(now_);
         start_agent(i);
@@ -660,7 +698,7 @@
     instant next_job = now_ + std::chrono::seconds(1);
     instant next_fault = next_job;
     std::exponential_distribution<> gap(1.0);
-    next_jobs_.assign(options_.traffic.size(), now_ + std::chrono::seconds(2));
+    next_jobs_.assign(options_.traffic.size(), now_ + traffic_begin);
     for (std::size_t i = 0; i < options_.lost_agents; ++i)
         at(options_.lost_at, [this, i] { agents_[i].frozen_until = instant::max(); });
     for (std::size_t i = 0; i < options_.stalled_workers; ++i)
@@ -744,6 +782,8 @@
         if (job.open && now_ - job.submitted > milliseconds(job.request.deadline_ms) + tick)
             ledger_.violations.push_back("never answered: " + id);
     }
+    result_.bound =
+        most_in_time(result_.offered, [this](instant when) { return fleet_speed_at(when); });
     result_.starts = ledger_.starts;
     result_.violations = ledger_.violations;
     return result_;
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fakes/capacity_bound.hpp"
 #include "fakes/virtual_worker.hpp"
 #include "tarragonlock/process/leased_dispatcher.hpp"
 #include "tarragonlock/process/task_host.hpp"
@@ -21,7 +22,7 @@
     std::string queue;
     double jobs_per_s = 1.0;
     std::uint32_t tasks = 1;
-    /// Run time of a task on a worker of speed 1; declared times are up to 40% off.
+    /// Run time of a task on a worker of speed 1.
     std::uint32_t work_ms = 100;
     std::uint32_t priority = 0;
     /// Factor on jobs_per_s during the flood.
@@ -55,6 +56,10 @@
     duration length = std::chrono::seconds(60);
     /// Mean time between two faults; 0 for none.
     duration fault_interval = std::chrono::milliseconds(700);
+    /// Time for a message between an entry and an agent.
+    duration link_delay = std::chrono::milliseconds(1);
+    /// Most by which callers' declared run times are off, in percent.
+    std::uint32_t estimate_error = 40;
     /// Queues to send jobs to; when empty, jobs of random width and length.
     std::vector<queue_traffic> traffic;
     /// Share of the runs that fail by their own fault.
@@ -87,6 +92,10 @@
     std::uint64_t starts = 0;
     std::vector<std::string> violations;
     std::map<std::string, queue_result> queues;
+    /// Every job of the queues.
+    std::vector<offered_job> offered;
+    /// By queue, the jobs that could be in time at most.
+    std::map<std::string, double> bound;
 };
 
 /// The shipped decisions of entries and agents of leased jobs in virtual time, with workers,
@@ -162,6 +171,8 @@
     void answer_renewals(std::size_t agent);
     void submit(const std::string& id);
     void send_new_jobs();
+    void send_job(const queue_traffic& queue);
+    static duration allowed_time(const caller_job& job);
     void count(const caller_job& job, const leased_answer& reply);
     void answered(caller_id caller, const leased_answer& reply);
     void break_caller(const std::string& id, caller_id caller);
@@ -169,6 +180,7 @@
     void inject_fault();
     void end_process(bool is_entry, std::size_t index, bool silent);
     void heal(std::size_t entry, std::size_t agent);
+    double fleet_speed_at(instant when) const;
     void note(const std::string& text);
     bool chance(double probability);
     std::size_t below(std::size_t count);
--- /dev/null
+++ b/tests/fakes/load_patterns.cpp
@@ -0,0 +1,87 @@
+#include "fakes/load_patterns.hpp"
+
+namespace tarragonlock::fakes
+{
+
+namespace
+{
+
+using std::chrono::seconds;
+
+constexpr std::size_t lookup = 0;
+constexpr std::size_t release = 1;
+constexpr std::size_t hold = 2;
+
+leased_fleet_options with_lost_agents(leased_fleet_options options, std::size_t count)
+{
+    options.lost_agents = count;
+    options.lost_at = seconds(8);
+    return options;
+}
+
+leased_fleet_options with_floods(leased_fleet_options options,
+                                 std::initializer_list<std::pair<std::size_t, double>> floods)
+{
+    for (const auto& [queue, factor] : floods)
+        flood(options.traffic[queue], factor);
+    return options;
+}
+
+} // namespace
+
+leased_fleet_options mixed_fleet(double load, std::size_t entries, std::size_t agents)
+{
+    constexpr double usual_agents = 11.0;
+    load *= static_cast<double>(agents) / usual_agents;
+    leased_fleet_options options;
+    options.entries = entries;
+    options.agents = agents;
+    options.tasks_per_worker = 10;
+    options.fault_interval = {};
+    options.length = seconds(26);
+    options.failing_share = 0.002; // as in the users' site files
+    options.traffic = {{"lookup", 48.5 * load, 8, 60, 0},
+                       {"release", 8.5 * load, 4, 900, 2},
+                       {"hold", 142.6 * load, 2, 200, 1}};
+    return options;
+}
+
+void flood(queue_traffic& queue, double factor)
+{
+    queue.flood = factor;
+    queue.flood_from = seconds(6);
+    queue.flood_for = seconds(6);
+}
+
+std::vector<load_pattern> load_patterns()
+{
+    const auto small = mixed_fleet();
+    const auto large = mixed_fleet(busy_day, 12, 44);
+    auto stalled = small;
+    stalled.stalled_workers = 3;
+    stalled.stalled_at = seconds(8);
+    stalled.stalled_for = seconds(5);
+    return {
+        {"calm", mixed_fleet(calm_day)},
+        {"lookups x1.9", with_floods(small, {{lookup, 1.9}})},
+        {"releases x2.5", with_floods(small, {{release, 2.5}})},
+        {"holds x3", with_floods(small, {{hold, 3.0}})},
+        {"releases x2.5, 2 of 11 lost", with_lost_agents(with_floods(small, {{release, 2.5}}), 2)},
+        {"lookups x1.7, releases x2.5, 4 of 11 lost",
+         with_lost_agents(with_floods(small, {{lookup, 1.7}, {release, 2.5}}), 4)},
+        {"3 of 11 stand still", stalled},
+        {"12 entries, releases x2.5", with_floods(large, {{release, 2.5}})},
+        {"12 entries, holds x3", with_floods(large, {{hold, 3.0}})},
+        {"12 entries, releases x2.5, 9 of 44 lost",
+         with_lost_agents(with_floods(large, {{release, 2.5}}), 9)}};
+}
+
+leased_fleet_options with_perfect_knowledge(leased_fleet_options options)
+{
+    options.entries = 1;
+    options.link_delay = {};
+    options.estimate_error = 0;
+    return options;
+}
+
+} // namespace tarragonlock::fakes
--- a/tests/request/overload_test.cpp
+++ b/tests/request/overload_test.cpp
@@ -1,13 +1,17 @@
 // Replays the load patterns that admission, order and placement answer, in virtual time.
 
-#include "fakes/leased_fleet.hpp"
+#include "fakes/load_patterns.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace tarragonlock;
+using fakes::busy_day;
+using fakes::calm_day;
+using fakes::flood;
 using fakes::leased_fleet;
 using fakes::leased_fleet_options;
 using fakes::leased_fleet_result;
+using fakes::mixed_fleet;
 using std::chrono::seconds;
 
 namespace
@@ -20,34 +24,6 @@
 /// Floor of each queue on the users' days with trouble.
 constexpr double floor_share = 0.42;
 
-/// Load of the sites' days with trouble; their calm days have 0.72 of it.
-constexpr double busy_day = 0.61;
-constexpr double calm_day = 0.44;
-
-/// Eleven workers of three speeds with room for ten tasks each: short wide lookups, long releases,
-/// and many holds.
-/// @param load  share of the fleet that the queues take without floods
-leased_fleet_options fleet(double load = busy_day)
-{
-    leased_fleet_options options;
-    options.agents = 11;
-    options.tasks_per_worker = 10;
-    options.fault_interval = {};
-    options.length = seconds(26);
-    options.failing_share = 0.002; // as in the users' site files
-    options.traffic = {{"lookup", 48.5 * load, 8, 60, 0},
-                       {"release", 8.5 * load, 4, 900, 2},
-                       {"hold", 142.6 * load, 2, 200, 1}};
-    return options;
-}
-
-void flood(fakes::queue_traffic& queue, double factor)
-{
-    queue.flood = factor;
-    queue.flood_from = seconds(6);
-    queue.flood_for = seconds(6);
-}
-
 leased_fleet_result play(const leased_fleet_options& options)
 {
     auto result = leased_fleet(options).run();
@@ -64,14 +40,14 @@
 
 BOOST_AUTO_TEST_CASE(a_calm_fleet_serves_everything_in_time)
 {
-    const auto result = play(fleet(calm_day));
+    const auto result = play(mixed_fleet(calm_day));
     for (const auto& [name, queue] : result.queues)
         BOOST_TEST(queue.in_time_share() >= calm_share, name);
 }
 
 BOOST_AUTO_TEST_CASE(a_flood_of_long_jobs_leaves_urgent_ones_alone)
 {
-    auto options = fleet();
+    auto options = mixed_fleet();
     flood(options.traffic[1], 2.5);
     auto result = play(options);
     BOOST_TEST(result.queues["lookup"].in_time_share() >= urgent_share);
@@ -81,11 +57,7 @@
 
 BOOST_AUTO_TEST_CASE(many_entries_do_not_send_to_the_same_workers_at_a_time)
 {
-    auto options = fleet();
-    options.entries = 12;
-    options.agents = 44;
-    for (auto& queue : options.traffic)
-        queue.jobs_per_s *= 4;
+    auto options = mixed_fleet(busy_day, 12, 44);
     flood(options.traffic[1], 2.5);
     auto result = play(options);
     BOOST_TEST(result.queues["lookup"].in_time_share() >= calm_share);
@@ -94,7 +66,7 @@
 
 BOOST_AUTO_TEST_CASE(a_flood_of_short_jobs_leaves_the_others_their_share)
 {
-    auto options = fleet();
+    auto options = mixed_fleet();
     flood(options.traffic[0], 1.9);
     auto result = play(options);
     BOOST_TEST(result.queues["lookup"].in_time_share() >= urgent_share);
@@ -104,7 +76,7 @@
 
 BOOST_AUTO_TEST_CASE(a_refusal_comes_within_the_allowed_time)
 {
-    auto options = fleet();
+    auto options = mixed_fleet();
     flood(options.traffic[2], 4.0);
     auto result = play(options);
     // 1.6 times a declared time that is at most 1.4 times the work, and 60 ms.
@@ -131,7 +103,7 @@
 /// Three of eleven workers stand still for five seconds.
 std::map<std::string, fakes::queue_result> play_stalls(bool stop_stalled_runs)
 {
-    auto options = fleet();
+    auto options = mixed_fleet();
     options.stalled_workers = 3;
     options.stalled_at = seconds(8);
     options.stalled_for = seconds(5);
@@ -151,7 +123,7 @@
 
 BOOST_AUTO_TEST_CASE(both_floods_with_a_third_of_the_workers_lost)
 {
-    auto options = fleet();
+    auto options = mixed_fleet();
     flood(options.traffic[0], 1.7);
     flood(options.traffic[1], 2.5);
     options.lost_agents = 4;
