process: a task that finds its room taken comes back at once

Cause: several entries see the same room; the task that came second waited at the agent for up to 40 ms while other workers were free, which is most of a lookup's slack. Tasks placed into room now start at once or come back; only those placed in line wait. A worker that refuses as unhealthy is told of as resting, so that nothing is sent there meanwhile.

--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -185,6 +185,8 @@
         whole
     };
 
+    /// Tasks of a step by the worker that they go to and how long they may wait there.
+    using chosen_workers = std::map<std::pair<channel_id, duration>, std::vector<std::uint32_t>>;
     using job_map = std::map<std::string, std::unique_ptr<job>, std::less<>>;
 
     void handle(instant now, channel_id channel, const agent_hello& hello);
@@ -217,8 +219,7 @@
     /// @return whether nothing of the job waits any more.
     bool place(instant now, job& work, std::vector<worker_forecast>& workers, double busy,
                job_start start);
-    void send_placements(job& work, std::uint32_t step,
-                         const std::map<channel_id, std::vector<std::uint32_t>>& chosen);
+    void send_placements(job& work, std::uint32_t step, const chosen_workers& chosen);
     void record(instant now, const job& work, leased_outcome what);
     bool has_worker_for(const leased_job_request& request, const queue_rule& rule) const;
     void refuse(caller_id caller, const leased_job_request& request, leased_reason why,
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -310,6 +310,7 @@
     void withdraw(instant now, task_map::iterator task, instant must_end_by);
     task_map::iterator finish(instant now, task_map::iterator task, task_end_kind kind);
     void return_waiting(instant now);
+    void return_waiting_of(instant now, channel_id channel, const place_tasks& request);
     void retry_orders(instant now);
     void expire_entries(instant now);
     void renew_if_needed(instant now);
@@ -319,6 +320,8 @@
     agent_report load_report(instant now, const entry_channel& entry) const;
     void describe_if_changed(instant now);
     duration busy_report_interval() const;
+    /// @return what the worker's condition is to the entries.
+    worker_condition condition(instant now) const;
     bool may_start(instant now) const;
     bool lease_is_fresh(instant now, channel_id channel) const;
     void record(instant now, const hosted_task& task, task_end_kind kind);
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -13,9 +13,9 @@
 
 /// Cost of leaving the entry's failure domain, for the time and bytes on the way.
 constexpr auto domain_distance = milliseconds(4);
-/// A task that another entry's task has overtaken waits at the agent for this long, about the time
-/// in which the next task there ends; then it may go elsewhere.
-constexpr auto longest_wait_at_agent = milliseconds(40);
+/// A task waits in line at a worker for this long, about the time in which the next task there
+/// ends; then it may go elsewhere.
+constexpr auto longest_wait_in_line = milliseconds(40);
 /// After so many jobs in a row that found no room, the rest keep waiting.
 constexpr std::size_t fruitless_jobs = 16;
 /// Share of the fleet's processors up to which a job is begun only as a whole.
@@ -260,28 +260,32 @@
             wanted.demand,     milliseconds(wanted.estimate_ms),     now - work.accepted,
             work.rule.stretch, milliseconds(work.rule.objective_ms), work.rank && work.rank->late,
             std::nullopt};
-        std::map<channel_id, std::vector<std::uint32_t>> chosen;
+        chosen_workers chosen;
         for (const auto index : tasks)
         {
             request.avoided = avoided_worker(work.steps[step][index], candidates);
             auto best = choose_worker(candidates, request, busy);
+            auto wait = duration(0);
             if (best == candidates.size())
+            {
                 best = choose_line(candidates, request);
+                wait = longest_wait_in_line;
+            }
             if (best == candidates.size())
             {
                 placed_all = false;
                 break;
             }
             candidates[best].reserve(wanted.demand);
-            chosen[candidates[best].worker].push_back(index);
+            chosen[{candidates[best].worker, wait}].push_back(index);
         }
         if (whole_only && !placed_all)
             break;
         for (auto& each : workers)
         {
-            if (const auto taken = chosen.find(each.worker); taken != chosen.end())
+            for (const auto& [where, taken] : chosen)
             {
-                for (std::size_t i = 0; i < taken->second.size(); ++i)
+                for (std::size_t i = 0; where.first == each.worker && i < taken.size(); ++i)
                     each.reserve(wanted.demand);
             }
         }
@@ -293,12 +297,12 @@
     return placed_all;
 }
 
-void leased_dispatcher::send_placements(
-    job& work, std::uint32_t step, const std::map<channel_id, std::vector<std::uint32_t>>& chosen)
+void leased_dispatcher::send_placements(job& work, std::uint32_t step, const chosen_workers& chosen)
 {
     const auto& wanted = work.request.steps[step];
-    for (const auto& [channel, tasks] : chosen)
+    for (const auto& [where, tasks] : chosen)
     {
+        const auto [channel, wait] = where;
         auto& known = agents_[channel];
         const auto count = static_cast<std::uint32_t>(tasks.size());
         counters_.tasks_placed += count;
@@ -312,7 +316,8 @@
         request.demand = wanted.demand;
         request.estimate_ms = wanted.estimate_ms;
         request.priority = work.rule.priority;
-        request.start_within_ms = static_cast<std::uint32_t>(longest_wait_at_agent.count());
+        request.start_within_ms =
+            static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(wait).count());
         for (const auto index : tasks)
         {
             auto& placed = work.steps[step][index];
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -107,6 +107,21 @@
     if (now - entry.report_sent >= busy_report_interval())
         report(now, channel, entry);
     start_waiting(now);
+    if (request.start_within_ms == 0)
+        return_waiting_of(now, channel, request);
+}
+
+/// Returns the tasks of a placement that did not start at once, so that they find room elsewhere
+/// without delay.
+void task_host::return_waiting_of(instant now, channel_id channel, const place_tasks& request)
+{
+    for (const auto& placed : request.tasks)
+    {
+        const auto task = tasks_.find({request.job, request.step, placed.index});
+        if (task != tasks_.end() && task->second.channel == channel &&
+            task->second.state == task_state::waiting)
+            finish(now, task, task_end_kind::not_started);
+    }
 }
 
 duration task_host::busy_report_interval() const
@@ -232,7 +247,7 @@
 
 void task_host::start_waiting(instant now)
 {
-    if (!accepting(now) || !worker_known_ || now < unwilling_until_)
+    if (!accepting(now) || !worker_known_)
         return;
     while (may_start(now))
     {
@@ -254,10 +269,15 @@
     }
 }
 
+worker_condition task_host::condition(instant now) const
+{
+    return now < unwilling_until_ ? worker_condition::resting : health_.condition(now);
+}
+
 /// @return whether the worker's condition allows a further run.
 bool task_host::may_start(instant now) const
 {
-    switch (health_.condition(now))
+    switch (condition(now))
     {
     case worker_condition::sound:
         return true;
@@ -457,16 +477,16 @@
     if (now - load_told_ < load_interval)
         return;
     const auto queued = waiting();
-    const auto condition = health_.condition(now);
-    if (free_ == told_free_ && queued == told_waiting_ && condition == told_condition_)
+    const auto now_in = condition(now);
+    if (free_ == told_free_ && queued == told_waiting_ && now_in == told_condition_)
         return;
     load_told_ = now;
     told_free_ = free_;
     told_waiting_ = queued;
-    if (const auto before = std::exchange(told_condition_, condition); before != condition)
-        log_event(log_level::info, "worker_condition",
-                  {{"worker", worker_ ? worker_->id : std::string()},
-                   {"condition", to_string(condition)}});
+    if (const auto before = std::exchange(told_condition_, now_in); before != now_in)
+        log_event(
+            log_level::info, "worker_condition",
+            {{"worker", worker_ ? worker_->id : std::string()}, {"condition", to_string(now_in)}});
     for (auto& [channel, entry] : entries_)
         effects_.emplace_back(to_entry{channel, load_report(now, entry)});
 }
@@ -474,7 +494,7 @@
 void task_host::on_tick(instant now)
 {
     expire_entries(now);
-    if (health_.condition(now) == worker_condition::resting)
+    if (condition(now) == worker_condition::resting)
         return_waiting(now);
     for (auto task = tasks_.begin(); task != tasks_.end();)
     {
@@ -564,7 +584,7 @@
     if (declared_ms_ > 0.0)
         report.slowness_millis =
             static_cast<std::uint32_t>(std::clamp(actual_ms_ / declared_ms_, 0.1, 20.0) * 1000.0);
-    report.condition = health_.condition(now);
+    report.condition = condition(now);
     return report;
 }
 
--- a/tests/process/leased_dispatcher_test.cpp
+++ b/tests/process/leased_dispatcher_test.cpp
@@ -135,6 +135,16 @@
     BOOST_TEST(f.placed_tasks() == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(only_tasks_in_line_wait_at_the_agent)
+{
+    fixture f(1);
+    f.report(1, {1600, 64, 0}, 1000);
+    f.submit("one", 2, 100);
+    BOOST_REQUIRE_EQUAL(f.placed.size(), 2U);
+    BOOST_TEST(f.placed[0].second.start_within_ms == 0U);
+    BOOST_TEST(f.placed[1].second.start_within_ms > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_job_that_cannot_be_in_time_is_refused_truthfully)
 {
     fixture f(1);
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -59,6 +59,8 @@
             {
                 if (const auto* end = std::get_if<task_end>(&message->body))
                     ends.push_back(*end);
+                if (const auto* report = std::get_if<agent_report>(&message->body))
+                    last_report = *report;
             }
         }
     }
@@ -77,14 +79,14 @@
     }
 
     void place(channel_id channel, const std::string& job, std::uint32_t tasks = 1,
-               std::uint32_t priority = 0)
+               std::uint32_t priority = 0, std::uint32_t start_within_ms = 1000)
     {
         place_tasks request;
         request.job = job;
         request.demand = {1600, 64, 0};
         request.estimate_ms = 200;
         request.priority = priority;
-        request.start_within_ms = 1000;
+        request.start_within_ms = start_within_ms;
         for (std::uint32_t i = 0; i < tasks; ++i)
             request.tasks.push_back({i, 1});
         host->on_message(now, channel, request);
@@ -114,6 +116,7 @@
     std::vector<stop_order> stops;
     std::vector<renew_order> renewals;
     std::vector<task_end> ends;
+    agent_report last_report;
 };
 
 } // namespace
@@ -436,4 +439,41 @@
     BOOST_TEST(f.starts.size() == before + 1);
 }
 
+BOOST_AUTO_TEST_CASE(what_finds_its_room_taken_comes_back_at_once)
+{
+    fixture f;
+    f.place(entry_a, "one", 1);
+    f.place(entry_a, "waits", 2);
+    BOOST_TEST(f.starts.size() == 2U);
+    f.place(entry_b, "two", 1, 0, 0);
+    BOOST_REQUIRE_EQUAL(f.ends.size(), 1U);
+    BOOST_TEST(f.ends[0].job == "two");
+    BOOST_TEST((f.ends[0].kind == task_end_kind::not_started));
+}
+
+BOOST_AUTO_TEST_CASE(a_waiting_task_of_another_entry_stays_when_the_same_task_comes_back)
+{
+    fixture f;
+    f.place(entry_a, "one", 2);
+    f.place(entry_a, "waits", 1);
+    f.place(entry_b, "waits", 1, 0, 0);
+    BOOST_TEST(f.ends.size() == 1U);
+    BOOST_TEST(f.host->waiting() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_that_refuses_as_unhealthy_is_told_to_rest)
+{
+    fixture f;
+    f.place(entry_a, "one");
+    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::not_willing, 5000);
+    f.now += milliseconds(20);
+    f.host->on_tick(f.now);
+    f.take();
+    BOOST_TEST((f.last_report.condition == worker_condition::resting));
+    f.now += milliseconds(200);
+    f.host->on_tick(f.now);
+    f.take();
+    BOOST_TEST((f.last_report.condition == worker_condition::sound));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
