--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -320,6 +320,7 @@
     agent_report load_report(instant now, const entry_channel& entry) const;
     void describe_if_changed(instant now);
     duration busy_report_interval() const;
+    duration load_interval() const;
     /// @return what the worker's condition is to the entries.
     worker_condition condition(instant now) const;
     bool may_start(instant now) const;
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -16,8 +16,12 @@
 constexpr int entry_lease_divisor = 2;
 /// Part of the caller's resend delay kept free between the last possible end and the resend.
 constexpr auto resend_margin = milliseconds(80);
-/// Shortest time between two reports of changed load to all entries.
-constexpr auto load_interval = milliseconds(5);
+/// Shortest time between two reports of changed load to all entries. In the replayed load 5 ms
+/// served no better, since tasks that find their room taken come back at once.
+constexpr auto shortest_load_interval = milliseconds(20);
+/// Reports of changed load that an agent sends in a second at most, to all entries together, so
+/// that its traffic does not grow with their number.
+constexpr std::size_t load_reports_per_s = 600;
 /// An unanswered stop is sent again after this time.
 constexpr auto stop_retry = milliseconds(40);
 /// The same for a run of unknown origin.
@@ -472,9 +476,15 @@
     return std::exchange(effects_, {});
 }
 
+duration task_host::load_interval() const
+{
+    const auto round = duration(std::chrono::seconds(1)) * entries_.size() / load_reports_per_s;
+    return std::max<duration>(shortest_load_interval, round);
+}
+
 void task_host::tell_load(instant now)
 {
-    if (now - load_told_ < load_interval)
+    if (now - load_told_ < load_interval())
         return;
     const auto queued = waiting();
     const auto now_in = condition(now);
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -60,7 +60,10 @@
                 if (const auto* end = std::get_if<task_end>(&message->body))
                     ends.push_back(*end);
                 if (const auto* report = std::get_if<agent_report>(&message->body))
+                {
                     last_report = *report;
+                    ++reports;
+                }
             }
         }
     }
@@ -117,6 +120,7 @@
     std::vector<renew_order> renewals;
     std::vector<task_end> ends;
     agent_report last_report;
+    std::size_t reports = 0;
 };
 
 } // namespace
@@ -476,4 +480,29 @@
     BOOST_TEST((f.last_report.condition == worker_condition::sound));
 }
 
+BOOST_AUTO_TEST_CASE(load_reports_do_not_grow_with_the_number_of_entries)
+{
+    constexpr int seconds_played = 2;
+    constexpr std::size_t most_per_s = 600;
+    for (const channel_id entries : {2, 12, 60})
+    {
+        fixture f;
+        for (channel_id channel = 3; channel <= entries; ++channel)
+            f.host->on_channel_open(f.now, channel);
+        f.take();
+        f.reports = 0;
+        for (int i = 0; i < seconds_played * 500; ++i)
+        {
+            f.now += milliseconds(2);
+            if (i % 2 == 0)
+                f.place(entry_a, "one", 3);
+            else
+                f.host->on_message(f.now, entry_a, withdraw_job{"one"});
+            f.take();
+        }
+        BOOST_TEST(f.reports > 0U);
+        BOOST_TEST(f.reports <= seconds_played * most_per_s + entries);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
