process: configuration documents go only to processes that ask for them

Cause: each new channel carried the whole configuration both ways, and every entry sent each new version to every agent, which took all but the first copy for nothing.

A process now tells its version on a new channel; who has an older one asks one of those peers, and the next one when no answer comes in 400 ms (configuration_relay). Lease frames have version 3: entries and agents are replaced together.

--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -122,6 +122,19 @@
     friend bool operator==(const task_end&, const task_end&) = default;
 };
 
+/// Tells which configuration a process has. Documents are large, so they go only to those that ask.
+struct configuration_notice
+{
+    std::uint64_t version = 0;
+    friend bool operator==(const configuration_notice&, const configuration_notice&) = default;
+};
+
+/// Asks for the configuration that a notice told of.
+struct configuration_request
+{
+    friend bool operator==(const configuration_request&, const configuration_request&) = default;
+};
+
 /// A copy of the operators' configuration, so that a process that starts while the key-value
 /// service is away has one.
 struct configuration_copy
@@ -132,7 +145,8 @@
 };
 
 using lease_message = std::variant<agent_hello, worker_description, agent_report, lease_echo,
-                                   place_tasks, withdraw_job, task_end, configuration_copy>;
+                                   place_tasks, withdraw_job, task_end, configuration_notice,
+                                   configuration_request, configuration_copy>;
 
 /// Messages that travel together.
 using lease_frame = std::vector<lease_message>;
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -2,6 +2,7 @@
 
 #include "tarragonlock/common/time.hpp"
 #include "tarragonlock/connection/lease_message.hpp"
+#include "tarragonlock/process/configuration_relay.hpp"
 #include "tarragonlock/process/service_levels.hpp"
 #include "tarragonlock/process/worker_health.hpp"
 #include "tarragonlock/request/leased_job.hpp"
@@ -138,9 +139,6 @@
     std::uint64_t sequence = 0;
 };
 
-/// Names a channel to an entry.
-using channel_id = std::uint64_t;
-
 /// Message for an entry.
 struct to_entry
 {
@@ -232,7 +230,7 @@
     /// @return run times and outcomes by priority; the objective is the declared run time.
     const service_levels& levels() const { return levels_; }
     /// @return the newest configuration that an entry has sent; version 0 when none has.
-    const configuration_copy& configuration() const { return configuration_; }
+    const configuration_copy& configuration() const { return configuration_.held(); }
     const std::optional<worker_announcement>& worker() const { return worker_; }
     std::size_t waiting() const;
     std::size_t running() const { return tasks_.size() - waiting(); }
@@ -296,7 +294,10 @@
     void handle(instant now, channel_id channel, const place_tasks& request);
     void handle(instant now, channel_id channel, const withdraw_job& request);
     void handle(instant now, channel_id channel, const lease_echo& echo);
+    void handle(instant now, channel_id channel, const configuration_notice& notice);
+    void handle(instant now, channel_id channel, const configuration_request& request);
     void handle(instant now, channel_id channel, const configuration_copy& copy);
+    void ask_for_configuration(instant now);
     template<class T>
     void handle(instant, channel_id, const T&)
     {
@@ -385,7 +386,7 @@
     double declared_ms_ = 0.0;
     worker_health health_;
     service_levels levels_;
-    configuration_copy configuration_;
+    configuration_relay configuration_;
     std::vector<host_effect> effects_;
     task_host_counters counters_;
 };
--- a/src/connection/lease_codec.cpp
+++ b/src/connection/lease_codec.cpp
@@ -9,7 +9,7 @@
 {
 
 /// Version of the frames between entries and agents of leased jobs.
-constexpr std::uint8_t lease_frame_version = 2;
+constexpr std::uint8_t lease_frame_version = 3;
 /// Longest frame; a configuration of a megabyte fits.
 constexpr std::size_t max_frame_bytes = 4U << 20U;
 
@@ -44,10 +44,16 @@
                     v.start_within_ms, v.tasks)
 TARRAGONLOCK_FIELDS(withdraw_job, v.job)
 TARRAGONLOCK_FIELDS(task_end, v.job, v.step, v.index, v.attempt, checked(v.kind), v.run_ms)
+TARRAGONLOCK_FIELDS(configuration_notice, v.version)
 TARRAGONLOCK_FIELDS(configuration_copy, v.version, v.document)
 
 #undef TARRAGONLOCK_FIELDS
 
+template<class Archive>
+void serialize(Archive&, configuration_request&)
+{
+}
+
 const char* to_string(worker_condition value)
 {
     switch (value)
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -40,12 +40,13 @@
         loop, {[this](channel_id channel)
                {
                    dispatcher_.on_channel_open(process_clock::now(), channel);
-                   if (configuration_.version > 0)
-                       channels_->send(channel, configuration_);
+                   if (const auto version = configuration_.held().version; version > 0)
+                       channels_->send(channel, configuration_notice{version});
                },
                [this](channel_id channel)
                {
                    dispatcher_.on_channel_lost(process_clock::now(), channel);
+                   configuration_.on_channel_lost(channel);
                    carry_out();
                },
                [this](channel_id channel, const lease_frame& frame) { on_frame(channel, frame); }});
@@ -215,9 +216,15 @@
               {{"version", static_cast<std::int64_t>(decoded.value().version())},
                {"before", static_cast<std::int64_t>(routes_.version())}});
     routes_ = std::move(decoded).value();
-    configuration_ = {routes_.version(), document};
+    configuration_.take({routes_.version(), document});
     for (const auto channel : dispatcher_.channels())
-        channels_->send(channel, configuration_);
+        channels_->send(channel, configuration_notice{routes_.version()});
+}
+
+void leased_entry_daemon::ask_for_configuration(instant now)
+{
+    if (const auto peer = configuration_.next_to_ask(now))
+        channels_->send(*peer, configuration_request{});
 }
 
 void leased_entry_daemon::on_frame(channel_id channel, const lease_frame& frame)
@@ -227,10 +234,15 @@
     {
         if (const auto* copy = std::get_if<configuration_copy>(&body))
             adopt(copy->document);
+        else if (const auto* notice = std::get_if<configuration_notice>(&body))
+            configuration_.on_notice(channel, notice->version);
+        else if (std::holds_alternative<configuration_request>(body))
+            channels_->send(channel, configuration_.held());
         else
             dispatcher_.on_message(now, channel, body);
     }
     dispatcher_.on_frame_end(now);
+    ask_for_configuration(now);
     carry_out();
 }
 
@@ -251,6 +263,7 @@
 {
     store_.on_tick(now);
     dispatcher_.on_tick(now);
+    ask_for_configuration(now);
     carry_out();
     if (!stopping_)
         return;
--- a/src/process/leased_entry_daemon.hpp
+++ b/src/process/leased_entry_daemon.hpp
@@ -3,6 +3,7 @@
 #include "connection/frame_channel.hpp"
 #include "connection/loop_http_server.hpp"
 #include "process/loop_process.hpp"
+#include "tarragonlock/process/configuration_relay.hpp"
 #include "tarragonlock/process/leased_dispatcher.hpp"
 #include "tarragonlock/process/leased_protocols.hpp"
 #include "tarragonlock/process/leased_settings.hpp"
@@ -49,6 +50,7 @@
                 std::string_view rest);
     void on_store_event(const store_event& event);
     void adopt(const std::string& document);
+    void ask_for_configuration(instant now);
     void on_frame(channel_id channel, const lease_frame& frame);
     void on_tick(instant now);
     void on_stop(instant now);
@@ -69,7 +71,7 @@
     std::unique_ptr<loop_http_server> readiness_;
     std::unique_ptr<loop_http_server> announcements_;
     route_table routes_;
-    configuration_copy configuration_;
+    configuration_relay configuration_;
     bool stopping_ = false;
     instant stop_asked_;
     std::uint64_t malformed_requests_ = 0;
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -46,8 +46,8 @@
     entry.lease_from = now;
     effects_.emplace_back(to_entry{channel, agent_hello{options_.name, options_.incarnation}});
     effects_.emplace_back(to_entry{channel, description(now)});
-    if (configuration_.version > 0)
-        effects_.emplace_back(to_entry{channel, configuration_});
+    if (const auto version = configuration().version; version > 0)
+        effects_.emplace_back(to_entry{channel, configuration_notice{version}});
     report(now, channel, entry);
 }
 
@@ -59,6 +59,7 @@
     const auto must_end_by = found->second.lease_from + options_.caller_resend - resend_margin;
     const auto had_tasks = found->second.tasks;
     entries_.erase(found);
+    configuration_.on_channel_lost(channel);
     for (auto task = tasks_.begin(); task != tasks_.end();)
     {
         const auto next = std::next(task);
@@ -159,8 +160,24 @@
 
 void task_host::handle(instant, channel_id, const configuration_copy& copy)
 {
-    if (copy.version > configuration_.version)
-        configuration_ = copy;
+    configuration_.take(copy);
+}
+
+void task_host::handle(instant now, channel_id channel, const configuration_notice& notice)
+{
+    configuration_.on_notice(channel, notice.version);
+    ask_for_configuration(now);
+}
+
+void task_host::handle(instant, channel_id channel, const configuration_request&)
+{
+    effects_.emplace_back(to_entry{channel, configuration()});
+}
+
+void task_host::ask_for_configuration(instant now)
+{
+    if (const auto peer = configuration_.next_to_ask(now))
+        effects_.emplace_back(to_entry{*peer, configuration_request{}});
 }
 
 void task_host::withdraw(instant now, task_map::iterator task, instant must_end_by)
@@ -521,6 +538,7 @@
     retry_orders(now);
     renew_if_needed(now);
     start_waiting(now);
+    ask_for_configuration(now);
     std::erase_if(last_runs_,
                   [now](const auto& item) { return now - item.second.second > run_memory; });
     tell_load(now);
--- a/tests/connection/lease_codec_test.cpp
+++ b/tests/connection/lease_codec_test.cpp
@@ -24,6 +24,8 @@
             request,
             withdraw_job{"two"},
             task_end{"one", 0, 3, 2, task_end_kind::stopped, 12},
+            configuration_notice{4},
+            configuration_request{},
             configuration_copy{4, "text"}};
 }
 
--- /dev/null
+++ b/tests/process/configuration_relay_test.cpp
@@ -0,0 +1,63 @@
+#include "tarragonlock/process/configuration_relay.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tarragonlock;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr instant begin{std::chrono::hours(1)};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(configuration_relay_tests)
+
+BOOST_AUTO_TEST_CASE(one_of_many_peers_is_asked)
+{
+    configuration_relay relay;
+    std::size_t asked = 0;
+    for (channel_id channel = 1; channel <= 40; ++channel)
+    {
+        relay.on_notice(channel, 7);
+        asked += relay.next_to_ask(begin) ? 1 : 0;
+    }
+    BOOST_TEST(asked == 1U);
+    relay.take({7, "text"});
+    BOOST_TEST(!relay.next_to_ask(begin + std::chrono::seconds(5)));
+    BOOST_TEST(relay.held().version == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(the_next_peer_is_asked_when_no_answer_comes)
+{
+    configuration_relay relay;
+    relay.on_notice(1, 7);
+    relay.on_notice(2, 7);
+    BOOST_TEST((relay.next_to_ask(begin) == channel_id{1}));
+    BOOST_TEST(!relay.next_to_ask(begin + milliseconds(100)));
+    BOOST_TEST((relay.next_to_ask(begin + milliseconds(500)) == channel_id{2}));
+}
+
+BOOST_AUTO_TEST_CASE(the_next_peer_is_asked_at_once_when_the_first_is_lost)
+{
+    configuration_relay relay;
+    relay.on_notice(1, 7);
+    relay.on_notice(2, 7);
+    BOOST_TEST((relay.next_to_ask(begin) == channel_id{1}));
+    relay.on_channel_lost(1);
+    BOOST_TEST((relay.next_to_ask(begin) == channel_id{2}));
+}
+
+BOOST_AUTO_TEST_CASE(an_old_version_is_neither_asked_for_nor_taken)
+{
+    configuration_relay relay;
+    relay.take({7, "new"});
+    relay.on_notice(1, 7);
+    relay.on_notice(2, 6);
+    BOOST_TEST(!relay.next_to_ask(begin));
+    relay.take({6, "old"});
+    BOOST_TEST(relay.held().document == "new");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
