tests: run times vary from job to job in compared overloads

The users' run times have a logarithmic spread of 0.4; the bound now takes jobs of about the same work as a class.

--- a/tests/compare_overload.cpp
+++ b/tests/compare_overload.cpp
@@ -18,15 +18,16 @@
 constexpr auto usage = R"(Compares the share of jobs in time under heavy load, by queue.
 
 Usage:
-  compare_overload [--seeds N] [--pattern TEXT]
+  compare_overload [--seeds N] [--pattern TEXT] [--spread S]
 
 Options:
   --seeds N       Seeds to play each pattern with [default: 4].
   --pattern TEXT  Only the patterns whose name contains this [default: ].
+  --spread S      Standard deviation of the run times' logarithm in a queue [default: 0.4].
 
 For each pattern and queue it prints the share in time and, in brackets, the share that is complete:
-as shipped; with one entry that sees every change at once and true declared times; and the most that
-any schedule could do if jobs were divisible at will.
+as shipped; with one entry that sees every change at once and true declared times; and the share
+in time of a schedule that completes the most jobs, if jobs were divisible at will.
 )";
 
 struct shares
@@ -65,10 +66,12 @@
     const auto seeds = static_cast<std::uint64_t>(arguments["--seeds"].asLong());
     const auto wanted = arguments["--pattern"].asString();
     std::cout << std::fixed << std::setprecision(3);
-    for (const auto& [name, options] : fakes::load_patterns())
+    for (auto& [name, options] : fakes::load_patterns())
     {
         if (name.find(wanted) == std::string::npos)
             continue;
+        for (auto& queue : options.traffic)
+            queue.work_spread = std::stod(arguments["--spread"].asString());
         const auto shipped = play(options, seeds);
         auto informed = play(fakes::with_perfect_knowledge(options), seeds);
         std::cout << name << '\n';
--- a/tests/fakes/capacity_bound.cpp
+++ b/tests/fakes/capacity_bound.cpp
@@ -1,6 +1,7 @@
 #include "fakes/capacity_bound.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace tarragonlock::fakes
 {
@@ -47,29 +48,40 @@
     return done;
 }
 
+/// @return the same number for jobs whose work differs by less than a tenth
+int work_class(duration work)
+{
+    constexpr double width = 1.1;
+    return static_cast<int>(std::log(static_cast<double>(work.count())) / std::log(width));
+}
+
 } // namespace
 
 std::map<std::string, double> most_in_time(const std::vector<offered_job>& jobs,
                                            const fleet_speed& speed)
 {
-    std::map<duration, std::string> queues;
+    // Classes of jobs with about the same work, the smallest work first.
+    std::map<int, std::vector<const offered_job*>> classes;
     for (const auto& job : jobs)
-        queues.emplace(job.work, job.queue);
+    {
+        if (job.counted)
+            classes[work_class(job.work)].push_back(&job);
+    }
     std::map<std::string, double> in_time;
     std::vector<const offered_job*> taken;
-    double work_before = 0.0;
-    for (const auto& [work, queue] : queues)
+    double done_before = 0.0;
+    for (const auto& [index, members] : classes)
     {
-        for (const auto& job : jobs)
-        {
-            if (job.queue == queue && job.counted)
-                taken.push_back(&job);
-        }
+        taken.insert(taken.end(), members.begin(), members.end());
         std::sort(taken.begin(), taken.end(),
                   [](const auto* left, const auto* right) { return left->sent < right->sent; });
-        const auto fits = work_that_fits(taken, speed);
-        in_time[queue] = (fits - work_before) / static_cast<double>(work.count());
-        work_before = fits;
+        double work = 0.0;
+        for (const auto* job : members)
+            work += static_cast<double>(job->work.count());
+        const auto done = work_that_fits(taken, speed);
+        for (const auto* job : members)
+            in_time[job->queue] += (done - done_before) / work;
+        done_before = done;
     }
     return in_time;
 }
--- a/tests/fakes/capacity_bound.hpp
+++ b/tests/fakes/capacity_bound.hpp
@@ -29,10 +29,11 @@
 /// Finds how many jobs of each queue could be in time at most, for a scheduler that knows every job
 /// in advance, splits jobs at will, moves them between workers and loses no time on messages.
 ///
-/// Of all such schedules it takes one that completes the most jobs: queues with less work per job
-/// go first, and inside them the earliest due time (Jackson's rule), which for divisible work of
-/// equal weight fits in as much as possible.
-/// @return an upper bound on the number of counted jobs that are in time, by queue
+/// Of all such schedules it takes one that completes the most jobs: those with less work go first,
+/// and among jobs of about the same work the earliest due time (Jackson's rule), which for
+/// divisible work of equal weight fits in as much as possible. A job that is done in part counts in
+/// part.
+/// @return the number of counted jobs that are in time in such a schedule, by queue
 std::map<std::string, double> most_in_time(const std::vector<offered_job>& jobs,
                                            const fleet_speed& speed);
 
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -495,6 +495,16 @@
     }
 }
 
+std::uint32_t leased_fleet::draw_work(const queue_traffic& queue)
+{
+    if (queue.work_spread <= 0.0)
+        return queue.work_ms;
+    constexpr double longest = 4.0; // as in the users' site files
+    const auto sigma = queue.work_spread;
+    const auto factor = std::lognormal_distribution<>(-sigma * sigma / 2.0, sigma)(random_);
+    return std::max(static_cast<std::uint32_t>(queue.work_ms * std::min(factor, longest)), 1U);
+}
+
 void leased_fleet::send_job(const queue_traffic& queue)
 {
     const auto id = queue.queue + "-" + std::to_string(++result_.jobs);
@@ -506,17 +516,17 @@
     job.rule.priority = queue.priority;
     job.rule.stretch = 1.6;
     job.rule.objective_ms = 60;
-    job.work_ms = queue.work_ms;
+    job.work_ms = draw_work(queue);
     job.first_sent = now_;
     job_step step;
     step.task_count = queue.tasks;
     step.demand = {1600, 64, 0};
     const auto error = options_.estimate_error;
     const auto percent = 100 - error + static_cast<std::uint32_t>(below(2 * error + 1));
-    step.estimate_ms = queue.work_ms * percent / 100;
+    step.estimate_ms = std::max(job.work_ms * percent / 100, 1U);
     job.request = {id, "spec", {step}, 4000};
     result_.offered.push_back({queue.queue, now_, now_ + allowed_time(job),
-                               milliseconds(queue.work_ms * queue.tasks), job.counted});
+                               milliseconds(job.work_ms * queue.tasks), job.counted});
     submit(id);
 }
 
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -22,13 +22,15 @@
     std::string queue;
     double jobs_per_s = 1.0;
     std::uint32_t tasks = 1;
-    /// Run time of a task on a worker of speed 1.
+    /// Mean run time of a task on a worker of speed 1.
     std::uint32_t work_ms = 100;
     std::uint32_t priority = 0;
     /// Factor on jobs_per_s during the flood.
     double flood = 1.0;
     duration flood_from{};
     duration flood_for{};
+    /// Standard deviation of the run time's logarithm, from job to job.
+    double work_spread = 0.0;
 };
 
 /// What became of the jobs of one queue.
@@ -172,6 +174,7 @@
     void submit(const std::string& id);
     void send_new_jobs();
     void send_job(const queue_traffic& queue);
+    std::uint32_t draw_work(const queue_traffic& queue);
     static duration allowed_time(const caller_job& job);
     void count(const caller_job& job, const leased_answer& reply);
     void answered(caller_id caller, const leased_answer& reply);
