control: status of leased processes from their metrics

The fake fleet measured the latest refusal from a job's first submission, also when the job had been given up at its deadline and sent again; it counts from the submission that was refused, as its comment says.

--- a/programs/control/commands.cpp
+++ b/programs/control/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 
+#include "process_metrics.hpp"
 #include "status_client.hpp"
 #include "tarragonlock/common/diagnostic.hpp"
 #include "tarragonlock/process/settings.hpp"
@@ -177,8 +178,31 @@
     return answered ? exit_status::done : exit_status::unreachable;
 }
 
+exit_status metrics_status(const arguments& given)
+{
+    const auto addresses = addresses_in(given.at("--metrics"));
+    std::vector<process_metrics> processes;
+    for (const auto& address : addresses)
+    {
+        if (auto process = fetch_metrics(address))
+            processes.push_back(std::move(*process));
+        else
+            std::cerr << address << " does not answer\n";
+    }
+    auto json = ordered_json::object();
+    for (const auto& process : processes)
+        json[process.address] = process.values;
+    if (wants_json(given))
+        std::cout << json.dump() << '\n';
+    else
+        std::cout << render_metrics(processes);
+    return processes.size() == addresses.size() ? exit_status::done : exit_status::unreachable;
+}
+
 exit_status status(const arguments& given)
 {
+    if (given.at("--metrics"))
+        return metrics_status(given);
     if (given.at("--job"))
         return job_status(given);
     const auto addresses = addresses_in(given.at("--entries"));
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -14,6 +14,7 @@
   tarragonlock diff FILE --store ADDRESSES [--json]
   tarragonlock apply FILE --store ADDRESSES [--base VERSION] [--wait --entries ADDRESSES] [--json]
   tarragonlock status --entries ADDRESSES [--job ID] [--json]
+  tarragonlock status --metrics ADDRESSES [--json]
   tarragonlock drain ADDRESS [--json]
   tarragonlock report --entries ADDRESSES [--html FILE] [--json]
   tarragonlock (-h | --help)
@@ -22,6 +23,8 @@
 Options:
   --store ADDRESSES    Addresses of the key-value service, host:port, separated by commas.
   --entries ADDRESSES  HTTP addresses of entries, host:port, separated by commas.
+  --metrics ADDRESSES  Metrics addresses of entries and agents of leased jobs, host:port, separated
+                       by commas.
   --base VERSION       Version the file was written against; without it the one in force.
   --wait               Wait until every entry and worker runs the new version.
   --job ID             Tell where one job is and why.
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -469,7 +469,7 @@
     auto& queue = result_.queues[job.rule.name];
     const auto took = now_ - job.first_sent;
     if (reply.outcome == leased_outcome::refused)
-        queue.latest_refusal = std::max(queue.latest_refusal, took);
+        queue.latest_refusal = std::max(queue.latest_refusal, now_ - job.submitted);
     if (reply.outcome != leased_outcome::completed)
         return;
     ++queue.completed;
--- a/tests/process/leased_fleet_test.py
+++ b/tests/process/leased_fleet_test.py
@@ -4,7 +4,9 @@
 import http.client
 import json
 import pathlib
+import re
 import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -230,6 +232,27 @@
     settings.write_text(text, encoding="utf-8")
 
 
+def check_status(fleet):
+    addresses = [f"{host}:{PORT + 3}" for host in HOSTS]
+    addresses += [f"127.0.0.1:{PORT + 50 + i}" for i in range(2)]
+    command = [str(ROOT / "build" / "tarragonlock"), "status", "--metrics"]
+    table = subprocess.run(command + [",".join(addresses)], capture_output=True, text=True,
+                           timeout=WAIT_S, check=False)
+    expect(table.returncode == 0 and all(a in table.stdout for a in addresses),
+           "status lists every process")
+    expect(re.search(rf"{HOSTS[0]}:\d+ +r +[1-9]\d* +\d+\.\d +\d+\.\d", table.stdout) is not None,
+           "status tells response times by queue")
+    said = subprocess.run(command + [",".join(addresses), "--json"], capture_output=True, text=True,
+                          timeout=WAIT_S, check=False)
+    expect(json.loads(said.stdout)[addresses[0]]["jobs_completed_total"] > 0,
+           "status prints the counters as JSON")
+    absent = f"127.0.0.1:{PORT + 99}"
+    missing = subprocess.run(command + [f"{addresses[0]},{absent}"], capture_output=True, text=True,
+                             timeout=WAIT_S, check=False)
+    expect(missing.returncode == 4 and absent in missing.stderr and addresses[0] in missing.stdout,
+           "status names a process that does not answer and shows the others")
+
+
 def check_graceful_stop(fleet):
     path, body = job(500, tasks=2, run_ms=900)
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
@@ -272,7 +295,7 @@
                 worker.starts.clear()
             for check in (check_calm, check_flood, check_lost_answers, check_stalled_worker,
                           check_entry_killed, check_agent_killed, check_configuration, check_reload,
-                          check_graceful_stop, check_drain, check_logs):
+                          check_status, check_graceful_stop, check_drain, check_logs):
                 check(fleet)
         finally:
             fleet.stop()
