--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,7 +6,7 @@
 Each seed plays a random series of faults for T seconds while callers submit jobs, then calms down
 and expects the fleet to serve again. What callers and workers saw is checked while it runs. A seed
 fixes what each of the two series of faults draws, not the timing of the machine. The last line
-counts the seeds.
+counts the seeds. Addresses are fixed, so one soak runs on a machine at a time.
 """
 import argparse
 import concurrent.futures
