process: one copy of the room on a worker, of the stall limit, of a load report

Read again, with no change of behaviour meant: what is free on a worker less what is on its way was computed in two places (free_room); the limit for a run that stands still was written in the agent and again in the forecast (request/stall_limit); an agent looked through its tasks for each entry that it told the same load; a loop over all workers for each choice is a look-up; the nested choice of an end's name is to_string; worker_forecast::run_time was not called any more.

--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -111,6 +111,9 @@
     stopped      ///< ended without result, and nothing of it runs any more
 };
 
+/// @return the name that logs use.
+const char* to_string(task_end_kind value);
+
 struct task_end
 {
     std::string job;
--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -231,7 +231,7 @@
     void on_due(instant now, job_map::iterator found);
     void give_up_if_hopeless(instant now, job_map::iterator found);
     /// @return what is free on a worker, less what is on its way there.
-    static std::int64_t free_cpu(const agent& known);
+    static resource_amount free_room(const agent& known);
     static duration longest_chain(const leased_job_request& request);
 
     leased_dispatcher_options options_;
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -318,7 +318,8 @@
     void lose_worker_runs(instant now);
     void begin_worker_life();
     void report(instant now, channel_id channel, entry_channel& entry);
-    agent_report load_report(instant now, const entry_channel& entry) const;
+    /// @return what is the same for every entry of a load report.
+    agent_report load_report(instant now) const;
     void describe_if_changed(instant now);
     duration busy_report_interval() const;
     duration load_interval() const;
--- /dev/null
+++ b/include/tarragonlock/request/stall_limit.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "tarragonlock/common/time.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace tarragonlock
+{
+
+/// @param declared  run time that the caller declared
+/// @return the time in which a run has to advance by one percent. At least several times the usual
+///         time between two listings of a worker; a fifth of the declared run time, in which even a
+///         worker that is ten times as slow as declared advances by two percent.
+inline duration stall_limit(duration declared)
+{
+    constexpr duration shortest = std::chrono::milliseconds(100);
+    constexpr int declared_divisor = 5;
+    return std::max(shortest, declared / declared_divisor);
+}
+
+} // namespace tarragonlock
--- a/include/tarragonlock/request/worker_forecast.hpp
+++ b/include/tarragonlock/request/worker_forecast.hpp
@@ -35,11 +35,6 @@
     /// Whether its last runs failed, so that the next one may stand still too.
     bool on_trial = false;
 
-    /// @return the expected run time of a task that is declared to take this long.
-    duration run_time(duration declared) const
-    {
-        return std::chrono::duration_cast<duration>(declared * slowness);
-    }
     bool has_room(const resource_amount& demand) const
     {
         return open_tasks > 0 && demand.fits_into(free);
--- a/src/connection/lease_codec.cpp
+++ b/src/connection/lease_codec.cpp
@@ -54,6 +54,22 @@
 {
 }
 
+const char* to_string(task_end_kind value)
+{
+    switch (value)
+    {
+    case task_end_kind::done:
+        return "done";
+    case task_end_kind::failed:
+        return "failed";
+    case task_end_kind::not_started:
+        return "not_started";
+    case task_end_kind::stopped:
+        return "stopped";
+    }
+    return "unknown";
+}
+
 const char* to_string(worker_condition value)
 {
     switch (value)
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -130,20 +130,23 @@
 void leased_dispatcher::handle(instant, channel_id channel, const agent_report& report)
 {
     auto& known = agents_[channel];
-    const auto before = free_cpu(known);
+    const auto before = free_room(known).cpu_millis;
     known.load = report;
     while (!known.in_flight.empty() && known.in_flight.front().number <= report.placements_seen)
         known.in_flight.pop_front();
     if (report.stamp != 0)
         effects_.emplace_back(to_agent{channel, lease_echo{report.stamp}});
-    room_changed_ = room_changed_ || free_cpu(known) > before;
+    room_changed_ = room_changed_ || free_room(known).cpu_millis > before;
 }
 
-std::int64_t leased_dispatcher::free_cpu(const agent& known)
+resource_amount leased_dispatcher::free_room(const agent& known)
 {
-    auto free = known.load.free.cpu_millis;
+    auto free = known.load.free;
     for (const auto& placement : known.in_flight)
-        free -= placement.demand.cpu_millis * placement.count;
+    {
+        for (std::uint32_t i = 0; i < placement.count; ++i)
+            free -= placement.demand;
+    }
     return free;
 }
 
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -94,12 +94,7 @@
         worker_forecast forecast;
         forecast.worker = channel;
         forecast.capacity = known.worker.capacity;
-        forecast.free = known.load.free;
-        for (const auto& placement : known.in_flight)
-        {
-            for (std::uint32_t i = 0; i < placement.count; ++i)
-                forecast.free -= placement.demand;
-        }
+        forecast.free = free_room(known);
         forecast.mean_run = milliseconds(known.load.mean_run_ms);
         forecast.slowness = known.load.slowness_millis / 1000.0;
         if (known.worker.failure_domain != options_.failure_domain)
@@ -281,13 +276,13 @@
         }
         if (whole_only && !placed_all)
             break;
-        for (auto& each : workers)
+        for (const auto& [where, taken] : chosen)
         {
-            for (const auto& [where, taken] : chosen)
-            {
-                for (std::size_t i = 0; where.first == each.worker && i < taken.size(); ++i)
-                    each.reserve(wanted.demand);
-            }
+            const auto used = std::find_if(workers.begin(), workers.end(),
+                                           [channel = where.first](const worker_forecast& each)
+                                           { return each.worker == channel; });
+            for (std::size_t i = 0; i < taken.size(); ++i)
+                used->reserve(wanted.demand);
         }
         placed_any = placed_any || !chosen.empty();
         send_placements(work, step, chosen);
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -220,9 +220,7 @@
                   {{"job", hosted.run.job},
                    {"task", hosted.run.index},
                    {"run", hosted.run.run},
-                   {"how", kind == task_end_kind::failed    ? "failed"
-                           : kind == task_end_kind::stopped ? "stopped"
-                                                            : "not_started"},
+                   {"how", to_string(kind)},
                    {"run_ms", run_ms},
                    {"withdrawn", hosted.report ? 0 : 1}});
     if (const auto entry = entries_.find(hosted.channel); entry != entries_.end())
@@ -504,18 +502,22 @@
     if (now - load_told_ < load_interval())
         return;
     const auto queued = waiting();
-    const auto now_in = condition(now);
-    if (free_ == told_free_ && queued == told_waiting_ && now_in == told_condition_)
+    const auto current = condition(now);
+    if (free_ == told_free_ && queued == told_waiting_ && current == told_condition_)
         return;
     load_told_ = now;
     told_free_ = free_;
     told_waiting_ = queued;
-    if (const auto before = std::exchange(told_condition_, now_in); before != now_in)
+    if (const auto before = std::exchange(told_condition_, current); before != current)
         log_event(
             log_level::info, "worker_condition",
-            {{"worker", worker_ ? worker_->id : std::string()}, {"condition", to_string(now_in)}});
-    for (auto& [channel, entry] : entries_)
-        effects_.emplace_back(to_entry{channel, load_report(now, entry)});
+            {{"worker", worker_ ? worker_->id : std::string()}, {"condition", to_string(current)}});
+    auto report = load_report(now);
+    for (const auto& [channel, entry] : entries_)
+    {
+        report.placements_seen = entry.placements_seen;
+        effects_.emplace_back(to_entry{channel, report});
+    }
 }
 
 void task_host::on_tick(instant now)
@@ -592,15 +594,15 @@
 void task_host::report(instant now, channel_id channel, entry_channel& entry)
 {
     entry.report_sent = now;
-    auto report = load_report(now, entry);
+    auto report = load_report(now);
+    report.placements_seen = entry.placements_seen;
     report.stamp = static_cast<std::uint64_t>(now.time_since_epoch().count());
     effects_.emplace_back(to_entry{channel, report});
 }
 
-agent_report task_host::load_report(instant now, const entry_channel& entry) const
+agent_report task_host::load_report(instant now) const
 {
     agent_report report;
-    report.placements_seen = entry.placements_seen;
     report.free = free_;
     for (const auto& [id, task] : tasks_)
     {
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -1,6 +1,7 @@
 #include "tarragonlock/process/task_host.hpp"
 
 #include "tarragonlock/common/log.hpp"
+#include "tarragonlock/request/stall_limit.hpp"
 
 #include <algorithm>
 #include <set>
@@ -26,12 +27,6 @@
 /// A renewal that waits for an end this long is joined by another one, because its answer may be
 /// lost; several times the usual time between two ends on a busy worker.
 constexpr auto renewal_hedge = milliseconds(40);
-/// A run that does not advance by one percent in this time stands still; several times the usual
-/// time between two listings.
-constexpr auto shortest_stall = milliseconds(100);
-/// The same as a share of the declared run time: even a worker that is ten times as slow as
-/// declared advances by two percent.
-constexpr double stall_share = 0.2;
 /// Most renewals under way at once.
 constexpr std::size_t max_renewals = 4;
 /// Renewals beyond these that only ask what runs.
@@ -279,10 +274,9 @@
     }
     // Both readings are the worker's, so answers that come late do not count as a stall.
     const auto still_ms = clock_ms - task.advanced_ms;
-    const auto allowed_ms =
-        std::max(shortest_stall.count(),
-                 static_cast<std::int64_t>(stall_share * static_cast<double>(task.estimate_ms)));
-    if (!options_.mechanisms.stop_stalled_runs || still_ms < allowed_ms)
+    const auto allowed =
+        std::chrono::duration_cast<milliseconds>(stall_limit(milliseconds(task.estimate_ms)));
+    if (!options_.mechanisms.stop_stalled_runs || still_ms < allowed.count())
         return;
     ++counters_.stalled;
     health_.on_failure(now, task.run.job);
--- a/src/request/worker_forecast.cpp
+++ b/src/request/worker_forecast.cpp
@@ -1,5 +1,7 @@
 #include "tarragonlock/request/worker_forecast.hpp"
 
+#include "tarragonlock/request/stall_limit.hpp"
+
 #include <algorithm>
 #include <tuple>
 
@@ -29,13 +31,11 @@
     late
 };
 
-/// Time after which a run that stands still has been found and ended; agents allow 100 ms or a
-/// fifth of the declared run time, and a stop takes 50 ms.
+/// Time after which a run that stands still has been found and ended; a stop takes 50 ms.
 duration stall_cost(duration declared)
 {
-    constexpr duration shortest_stall = std::chrono::milliseconds(100);
     constexpr duration stop_time = std::chrono::milliseconds(50);
-    return std::max(shortest_stall, declared / 5) + stop_time;
+    return stall_limit(declared) + stop_time;
 }
 
 /// @param slowness  of the worker
