tests: overload tests play the named patterns; the bound is computed when asked for

The overload tests built the options of load_patterns anew, every run of the fake fleet computed the bound that only compare_overload prints, and two places summed results over seeds.

--- a/tests/compare_overload.cpp
+++ b/tests/compare_overload.cpp
@@ -30,29 +30,31 @@
 in time of a schedule that completes the most jobs, if jobs were divisible at will.
 )";
 
-struct shares
+/// What became of a queue's jobs over all seeds, and the most that could be in time.
+struct queue_total
 {
-    double jobs = 0.0;
-    double in_time = 0.0;
-    double completed = 0.0;
+    fakes::queue_result result;
     double bound = 0.0;
+
+    double completed_share() const { return share(static_cast<double>(result.completed)); }
+    double bound_share() const { return share(bound); }
+    double share(double count) const { return count / static_cast<double>(result.jobs); }
 };
 
-std::map<std::string, shares> play(leased_fleet_options options, std::uint64_t seeds)
+std::map<std::string, queue_total> play(leased_fleet_options options, std::uint64_t seeds)
 {
-    std::map<std::string, shares> total;
+    std::map<std::string, queue_total> total;
     for (options.seed = 1; options.seed <= seeds; ++options.seed)
     {
-        auto result = fakes::leased_fleet(options).run();
+        fakes::leased_fleet fleet(options);
+        const auto result = fleet.run();
+        auto bound = fleet.bound();
         for (const auto& violation : result.violations)
             std::cerr << "violation with seed " << options.seed << ": " << violation << '\n';
         for (const auto& [name, queue] : result.queues)
         {
-            auto& sum = total[name];
-            sum.jobs += static_cast<double>(queue.jobs);
-            sum.in_time += static_cast<double>(queue.in_time);
-            sum.completed += static_cast<double>(queue.completed);
-            sum.bound += result.bound[name];
+            total[name].result.add(queue);
+            total[name].bound += bound[name];
         }
     }
     return total;
@@ -79,9 +81,9 @@
         {
             const auto& best = informed[queue];
             std::cout << "  " << std::left << std::setw(8) << queue << " shipped "
-                      << sum.in_time / sum.jobs << " (" << sum.completed / sum.jobs
-                      << "), perfect knowledge " << best.in_time / best.jobs << " ("
-                      << best.completed / best.jobs << "), bound " << sum.bound / sum.jobs << '\n';
+                      << sum.result.in_time_share() << " (" << sum.completed_share()
+                      << "), perfect knowledge " << best.result.in_time_share() << " ("
+                      << best.completed_share() << "), bound " << sum.bound_share() << '\n';
         }
         std::cout.flush();
     }
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -16,6 +16,8 @@
 constexpr auto order_timeout = milliseconds(250);
 constexpr auto heartbeat = milliseconds(1500);
 constexpr auto tick = milliseconds(20);
+/// When every fleet begins, on the clock of its processes.
+constexpr instant fleet_begin{std::chrono::hours(1)};
 /// When callers begin to send jobs.
 constexpr auto traffic_begin = std::chrono::seconds(2);
 /// Jobs sent before are not counted: how fast a worker is is not known until it has run some tasks.
@@ -29,9 +31,17 @@
 
 } // namespace
 
+void queue_result::add(const queue_result& other)
+{
+    jobs += other.jobs;
+    in_time += other.in_time;
+    completed += other.completed;
+    latest_refusal = std::max(latest_refusal, other.latest_refusal);
+}
+
 leased_fleet::leased_fleet(const leased_fleet_options& options)
-    : options_(options), random_(options.seed), now_(std::chrono::hours(1)),
-      entries_(options.entries), agents_(options.agents)
+    : options_(options), random_(options.seed), now_(fleet_begin), entries_(options.entries),
+      agents_(options.agents)
 {
     rule_.name = "queue";
     rule_.workers = selector::parse("service=clearing").value();
@@ -479,7 +489,7 @@
 void leased_fleet::send_new_jobs()
 {
     std::exponential_distribution<> gap(1.0);
-    const auto elapsed = now_ - instant(std::chrono::hours(1));
+    const auto elapsed = now_ - fleet_begin;
     for (std::size_t i = 0; i < options_.traffic.size(); ++i)
     {
         const auto& queue = options_.traffic[i];
@@ -509,7 +519,7 @@
 {
     const auto id = queue.queue + "-" + std::to_string(++result_.jobs);
     auto& job = jobs_[id];
-    job.counted = now_ - instant(std::chrono::hours(1)) >= warm_up;
+    job.counted = now_ - fleet_begin >= warm_up;
     result_.queues[queue.queue].jobs += job.counted ? 1 : 0;
     job.rule = rule_;
     job.rule.name = queue.queue;
@@ -525,15 +535,20 @@
     const auto percent = 100 - error + static_cast<std::uint32_t>(below(2 * error + 1));
     step.estimate_ms = std::max(job.work_ms * percent / 100, 1U);
     job.request = {id, "spec", {step}, 4000};
-    result_.offered.push_back({queue.queue, now_, now_ + allowed_time(job),
-                               milliseconds(job.work_ms * queue.tasks), job.counted});
+    offered_.push_back({queue.queue, now_, now_ + allowed_time(job),
+                        milliseconds(job.work_ms * queue.tasks), job.counted});
     submit(id);
 }
 
+std::map<std::string, double> leased_fleet::bound() const
+{
+    return most_in_time(offered_, [this](instant when) { return fleet_speed_at(when); });
+}
+
 /// @return run time that the workers work off per unit of time
 double leased_fleet::fleet_speed_at(instant when) const
 {
-    const auto elapsed = when - instant(std::chrono::hours(1));
+    const auto elapsed = when - fleet_begin;
     const bool lost = elapsed >= options_.lost_at;
     const bool stalled =
         elapsed >= options_.stalled_at && elapsed < options_.stalled_at + options_.stalled_for;
@@ -792,8 +807,6 @@
         if (job.open && now_ - job.submitted > milliseconds(job.request.deadline_ms) + tick)
             ledger_.violations.push_back("never answered: " + id);
     }
-    result_.bound =
-        most_in_time(result_.offered, [this](instant when) { return fleet_speed_at(when); });
     result_.starts = ledger_.starts;
     result_.violations = ledger_.violations;
     return result_;
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -42,6 +42,8 @@
     std::uint64_t completed = 0;
     /// Longest time from submission to a refusal.
     duration latest_refusal{};
+    /// Counts the jobs of another run as well.
+    void add(const queue_result& other);
     double in_time_share() const
     {
         return jobs == 0 ? 1.0 : static_cast<double>(in_time) / static_cast<double>(jobs);
@@ -94,10 +96,6 @@
     std::uint64_t starts = 0;
     std::vector<std::string> violations;
     std::map<std::string, queue_result> queues;
-    /// Every job of the queues.
-    std::vector<offered_job> offered;
-    /// By queue, the jobs that could be in time at most.
-    std::map<std::string, double> bound;
 };
 
 /// The shipped decisions of entries and agents of leased jobs in virtual time, with workers,
@@ -108,6 +106,8 @@
 public:
     explicit leased_fleet(const leased_fleet_options& options);
     leased_fleet_result run();
+    /// @return by queue, how many of the jobs that run() sent could be in time at most.
+    std::map<std::string, double> bound() const;
 
 private:
     struct process
@@ -206,6 +206,8 @@
     bool faults_on_ = true;
     std::size_t noted_ = 0;
     leased_fleet_result result_;
+    /// Every job of the queues.
+    std::vector<offered_job> offered_;
 };
 
 } // namespace tarragonlock::fakes
--- a/tests/fakes/load_patterns.cpp
+++ b/tests/fakes/load_patterns.cpp
@@ -1,5 +1,7 @@
 #include "fakes/load_patterns.hpp"
 
+#include <stdexcept>
+
 namespace tarragonlock::fakes
 {
 
@@ -76,6 +78,16 @@
          with_lost_agents(with_floods(large, {{release, 2.5}}), 9)}};
 }
 
+leased_fleet_options load_pattern_named(std::string_view name)
+{
+    for (const auto& pattern : load_patterns())
+    {
+        if (pattern.name == name)
+            return pattern.options;
+    }
+    throw std::invalid_argument("no load pattern is named " + std::string(name));
+}
+
 leased_fleet_options with_perfect_knowledge(leased_fleet_options options)
 {
     options.entries = 1;
--- a/tests/fakes/load_patterns.hpp
+++ b/tests/fakes/load_patterns.hpp
@@ -2,6 +2,10 @@
 
 #include "fakes/leased_fleet.hpp"
 
+#include <string>
+#include <string_view>
+#include <vector>
+
 namespace tarragonlock::fakes
 {
 
@@ -30,6 +34,9 @@
 /// @return the patterns that policies are compared on
 std::vector<load_pattern> load_patterns();
 
+/// @param name  of one of the patterns; any other one is a mistake of the test and throws
+leased_fleet_options load_pattern_named(std::string_view name);
+
 /// The same load for a fleet with perfect knowledge: one entry that sees every change of the
 /// workers at once, and callers that declare the true run times.
 leased_fleet_options with_perfect_knowledge(leased_fleet_options options);
--- a/tests/request/overload_test.cpp
+++ b/tests/request/overload_test.cpp
@@ -5,12 +5,11 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace tarragonlock;
-using fakes::busy_day;
-using fakes::calm_day;
 using fakes::flood;
 using fakes::leased_fleet;
 using fakes::leased_fleet_options;
 using fakes::leased_fleet_result;
+using fakes::load_pattern_named;
 using fakes::mixed_fleet;
 using std::chrono::seconds;
 
@@ -40,16 +39,14 @@
 
 BOOST_AUTO_TEST_CASE(a_calm_fleet_serves_everything_in_time)
 {
-    const auto result = play(mixed_fleet(calm_day));
+    const auto result = play(load_pattern_named("calm"));
     for (const auto& [name, queue] : result.queues)
         BOOST_TEST(queue.in_time_share() >= calm_share, name);
 }
 
 BOOST_AUTO_TEST_CASE(a_flood_of_long_jobs_leaves_urgent_ones_alone)
 {
-    auto options = mixed_fleet();
-    flood(options.traffic[1], 2.5);
-    auto result = play(options);
+    auto result = play(load_pattern_named("releases x2.5"));
     BOOST_TEST(result.queues["lookup"].in_time_share() >= urgent_share);
     BOOST_TEST(result.queues["hold"].in_time_share() >= urgent_share);
     BOOST_TEST(result.queues["release"].in_time_share() >= floor_share);
@@ -57,18 +54,14 @@
 
 BOOST_AUTO_TEST_CASE(many_entries_do_not_send_to_the_same_workers_at_a_time)
 {
-    auto options = mixed_fleet(busy_day, 12, 44);
-    flood(options.traffic[1], 2.5);
-    auto result = play(options);
+    auto result = play(load_pattern_named("12 entries, releases x2.5"));
     BOOST_TEST(result.queues["lookup"].in_time_share() >= calm_share);
     BOOST_TEST(result.queues["hold"].in_time_share() >= calm_share);
 }
 
 BOOST_AUTO_TEST_CASE(a_flood_of_short_jobs_leaves_the_others_their_share)
 {
-    auto options = mixed_fleet();
-    flood(options.traffic[0], 1.9);
-    auto result = play(options);
+    auto result = play(load_pattern_named("lookups x1.9"));
     BOOST_TEST(result.queues["lookup"].in_time_share() >= urgent_share);
     BOOST_TEST(result.queues["hold"].in_time_share() >= floor_share);
     BOOST_TEST(result.queues["release"].in_time_share() >= floor_share);
@@ -92,21 +85,14 @@
     for (options.seed = 1; options.seed <= seeds; ++options.seed)
     {
         for (const auto& [name, queue] : play(options).queues)
-        {
-            total[name].jobs += queue.jobs;
-            total[name].in_time += queue.in_time;
-        }
+            total[name].add(queue);
     }
     return total;
 }
 
-/// Three of eleven workers stand still for five seconds.
 std::map<std::string, fakes::queue_result> play_stalls(bool stop_stalled_runs)
 {
-    auto options = mixed_fleet();
-    options.stalled_workers = 3;
-    options.stalled_at = seconds(8);
-    options.stalled_for = seconds(5);
+    auto options = load_pattern_named("3 of 11 stand still");
     options.host.stop_stalled_runs = stop_stalled_runs;
     return play_seeds(options, 16);
 }
@@ -123,11 +109,7 @@
 
 BOOST_AUTO_TEST_CASE(both_floods_with_a_third_of_the_workers_lost)
 {
-    auto options = mixed_fleet();
-    flood(options.traffic[0], 1.7);
-    flood(options.traffic[1], 2.5);
-    options.lost_agents = 4;
-    options.lost_at = seconds(8);
+    auto options = load_pattern_named("lookups x1.7, releases x2.5, 4 of 11 lost");
     options.length = seconds(36);
     auto result = play_seeds(options, 6);
     BOOST_TEST(result["lookup"].in_time_share() >= urgent_share);
