process: an exception in a handler ends one call, not the process

Cause: an exception from a handler of a frame, a request or a response left the event loop and ended the process; one from a tick would have ended the ticks, and one while effects are executed all later effects. Change: guarded_call() logs and counts it (unexpected_errors_total). A frame that could not be handled closes its channel, a request is answered with 500, ticks go on. A frame that cannot be encoded has its own message.

--- a/src/connection/frame_channel.cpp
+++ b/src/connection/frame_channel.cpp
@@ -1,5 +1,6 @@
 #include "connection/frame_channel.hpp"
 
+#include "common/guarded_call.hpp"
 #include "connection/loop_socket.hpp"
 #include "tarragonlock/common/log.hpp"
 
@@ -214,7 +215,13 @@
             fail("malformed frame");
             return;
         }
-        owner_.events().on_frame(id_, std::move(frame).value());
+        // The peers start again with a new channel, because this frame may be half applied.
+        if (!guarded_call("frame",
+                          [&] { owner_.events().on_frame(id_, std::move(frame).value()); }))
+        {
+            fail("frame could not be handled");
+            return;
+        }
     }
     read_buffer_.erase(0, consumed);
 }
@@ -234,7 +241,12 @@
     if (closed_ || !connected_)
         return;
     const auto bytes = encode_frame(std::exchange(outgoing_, {}));
-    if (!bytes || pending_bytes_.size() > max_pending_bytes)
+    if (!bytes)
+    {
+        fail("frame could not be encoded");
+        return;
+    }
+    if (pending_bytes_.size() > max_pending_bytes)
     {
         fail("too many bytes queued for the peer");
         return;
--- a/src/connection/loop_http_client.cpp
+++ b/src/connection/loop_http_client.cpp
@@ -1,5 +1,6 @@
 #include "connection/loop_http_client.hpp"
 
+#include "common/guarded_call.hpp"
 #include "connection/loop_socket.hpp"
 
 #include <boost/asio/connect.hpp>
@@ -111,7 +112,7 @@
             fail(each,
                  each->sent ? http_client_error::no_response : http_client_error::not_connected);
         for (const auto& each : never_sent)
-            each(http_client_error::not_connected, {});
+            guarded_call("response", [&] { each(http_client_error::not_connected, {}); });
     }
 
     const std::string& address() const override { return address_; }
@@ -226,7 +227,10 @@
         std::erase(busy_, connection);
         if (message.keep_alive())
             idle_.push_back(connection);
-        done.on_response({}, {message.result_int(), std::move(message.body())});
+        guarded_call("response",
+                     [&] {
+                         done.on_response({}, {message.result_int(), std::move(message.body())});
+                     });
         begin_calls();
     }
 
@@ -239,7 +243,7 @@
         error_code ignored; // The connection is discarded in any case.
         connection->socket.close(ignored);
         std::erase(busy_, connection);
-        failed.on_response(error, {});
+        guarded_call("response", [&] { failed.on_response(error, {}); });
         begin_calls();
     }
 
--- a/src/connection/loop_http_server.cpp
+++ b/src/connection/loop_http_server.cpp
@@ -1,5 +1,6 @@
 #include "connection/loop_http_server.hpp"
 
+#include "common/guarded_call.hpp"
 #include "connection/loop_socket.hpp"
 #include "tarragonlock/common/log.hpp"
 
@@ -82,12 +83,16 @@
         return last_request_id_;
     }
 
-    void handle(http_request_id id, http_request request) { on_request_(id, std::move(request)); }
+    void handle(http_request_id id, http_request request)
+    {
+        if (!guarded_call("request", [&] { on_request_(id, std::move(request)); }))
+            respond(id, {500, "", "", 0});
+    }
 
     void session_disconnected(http_request_id request)
     {
         if (pending_requests_.erase(request) > 0 && on_disconnect_)
-            on_disconnect_(request);
+            guarded_call("disconnect", [&] { on_disconnect_(request); });
     }
 
     void session_closed() { --open_connections_; }
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "process/leased_entry_daemon.hpp"
 
+#include "common/guarded_call.hpp"
 #include "process/metrics_text.hpp"
 #include "process/settings_reload.hpp"
 #include "tarragonlock/common/log.hpp"
@@ -318,6 +319,7 @@
            gauge_text("caller_connections", caller_server_->connections()) +
            gauge_text("configuration_version", routes_.version()) +
            counter_text("log_lines_dropped_total", dropped_log_line_count()) +
+           counter_text("unexpected_errors_total", unexpected_error_count()) +
            dispatcher_.levels().metrics();
 }
 
--- a/src/process/loop_process.cpp
+++ b/src/process/loop_process.cpp
@@ -1,5 +1,6 @@
 #include "process/loop_process.hpp"
 
+#include "common/guarded_call.hpp"
 #include "tarragonlock/common/log.hpp"
 
 #include <csignal>
@@ -45,7 +46,10 @@
     log_event(log_level::info, "started");
     wait_for_signal();
     schedule_tick();
-    loop_.run();
+    while (!guarded_call("event loop", [this] { loop_.run(); }))
+    {
+        // The loop continues with the next event.
+    }
     log_event(log_level::info, "stopped");
 }
 
@@ -57,7 +61,7 @@
         {
             if (error)
                 return;
-            handlers_.on_tick(process_clock::now());
+            guarded_call("tick", [this] { handlers_.on_tick(process_clock::now()); });
             schedule_tick();
         });
 }
@@ -72,12 +76,12 @@
             if (signal == SIGHUP)
             {
                 log_event(log_level::info, "reload_requested");
-                handlers_.on_reload();
+                guarded_call("reload", handlers_.on_reload);
             }
             else if (!std::exchange(stopping_, true))
             {
                 log_event(log_level::info, "stop_requested");
-                handlers_.on_stop(process_clock::now());
+                guarded_call("stop", [this] { handlers_.on_stop(process_clock::now()); });
             }
             wait_for_signal();
         });
