version: odd entries of other writers hide no registration

Cause: one item under the prefix of the entries with a missing field, a value of another type or a number out of range made the whole page, or the whole batch of changes, an error. Agents read the list again and again and followed no change. Two keys with one address lost it when the first of them expired. Change: an item that cannot be decoded is left out and logged; an event that cannot be decoded counts as a deletion of its key. entry_registrations checks addresses, logs each bad value once and counts the keys of an address. Calls go to the address of an announcement only if the announcement is not an outdated one.

--- a/include/tarragonlock/version/key_value_client.hpp
+++ b/include/tarragonlock/version/key_value_client.hpp
@@ -14,13 +14,16 @@
 struct store_page
 {
     std::vector<store_item> items;
-    /// Whether more pages follow, after the last key of this one.
+    /// Whether more pages follow, after last_key.
     bool truncated = false;
     /// The service's revision when it answered.
     std::int64_t revision = 0;
+    /// Last key of the page. Its item is missing from items if it could not be decoded.
+    std::string last_key;
 };
 
-/// Changes under a prefix, and the revision after which the next watch continues.
+/// Changes under a prefix, and the revision after which the next watch continues. A change whose
+/// value could not be decoded counts as a deletion of its key.
 struct store_change_batch
 {
     std::vector<store_change> changes;
--- a/include/tarragonlock/version/loop_store_client.hpp
+++ b/include/tarragonlock/version/loop_store_client.hpp
@@ -55,8 +55,8 @@
         /// Value of read_round_ when the read started; a read of an earlier round is discarded.
         std::uint64_t round = 0;
         store_snapshot pages;
-        /// Revision of the first page, after which the watch starts.
-        std::int64_t revision = 0;
+        /// Revision of the first page, after which the watch starts; empty before it has arrived.
+        std::optional<std::int64_t> revision;
     };
 
     void start_full_read(instant now);
--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -1,10 +1,13 @@
 #include "process/leased_agent_daemon.hpp"
 
+#include "common/guarded_call.hpp"
 #include "process/leased_entry_daemon.hpp"
 #include "process/metrics_text.hpp"
 #include "process/settings_reload.hpp"
 #include "tarragonlock/common/log.hpp"
 
+#include <absl/cleanup/cleanup.h>
+
 namespace tarragonlock
 {
 
@@ -19,6 +22,8 @@
 constexpr auto dial_timeout = milliseconds(200);
 /// The process exits this long before the grace period of a shutdown ends.
 constexpr auto shutdown_margin = milliseconds(300);
+/// Longest announcement; workers send less than a kilobyte.
+constexpr std::uint64_t max_announcement_bytes = 64U << 10U;
 
 } // namespace
 
@@ -71,7 +76,6 @@
 
 result<void> leased_agent_daemon::open()
 {
-    constexpr std::uint64_t max_announcement_bytes = 4U << 20U;
     auto opened = loop_http_server::open(
         loop_, {settings_.listen_worker, "", max_announcement_bytes},
         [this](http_request_id id, const http_request& request)
@@ -110,8 +114,10 @@
         announcements_->respond(id, {400, "", "", 0});
         return;
     }
-    protocols_.worker->connect(announced.value().address);
-    host_.on_announcement(now, announced.value());
+    // A delayed announcement of an earlier worker process must not redirect the calls to its
+    // address.
+    if (host_.on_announcement(now, announced.value()))
+        protocols_.worker->connect(announced.value().address);
     announcements_->respond(id, protocol.acknowledged());
     execute_effects();
 }
@@ -119,42 +125,26 @@
 void leased_agent_daemon::on_store_event(const store_event& event)
 {
     if (const auto* snapshot = std::get_if<store_snapshot>(&event))
-    {
-        registered_addresses_.clear();
-        for (auto& [address, entry] : entries_)
-            entry.registered = false;
-        for (const auto& item : snapshot->items)
-            update_registration(item.key, item.value);
-    }
+        registrations_.replace(snapshot->items);
     else if (const auto* change = std::get_if<store_change>(&event))
-        update_registration(change->key, change->item ? change->item->value : "");
+        registrations_.apply(*change);
+    for (const auto& address : registrations_.addresses())
+        entries_.try_emplace(address);
     dial_entries(process_clock::now());
 }
 
-/// @param address  empty when the entry is no longer registered
-void leased_agent_daemon::update_registration(const std::string& key, const std::string& address)
-{
-    if (const auto previous = registered_addresses_.find(key);
-        previous != registered_addresses_.end())
-    {
-        entries_[previous->second].registered = false;
-        registered_addresses_.erase(previous);
-    }
-    if (address.empty())
-        return;
-    registered_addresses_[key] = address;
-    entries_[address].registered = true;
-}
-
 void leased_agent_daemon::dial_entries(instant now)
 {
     if (stopping_)
         return;
     // An entry with a channel is kept even if it is not registered, because the store may lose the
     // keys of running entries.
-    std::erase_if(
-        entries_, [](const auto& item)
-        { return !item.second.registered && !item.second.hinted && item.second.channel == 0; });
+    std::erase_if(entries_,
+                  [this](const auto& item)
+                  {
+                      return !registrations_.contains(item.first) && !item.second.hinted &&
+                             item.second.channel == 0;
+                  });
     for (auto& [address, entry] : entries_)
     {
         if (entry.channel != 0 && !entry.open && now - entry.dialled_at > dial_timeout)
@@ -185,13 +175,13 @@
     // too.
     if (std::exchange(executing_effects_, true))
         return;
+    const absl::Cleanup reset = [this] { executing_effects_ = false; };
     host_.send_load_reports(process_clock::now());
     for (auto effects = host_.take_effects(); !effects.empty(); effects = host_.take_effects())
     {
         for (const auto& effect : effects)
             std::visit([this](const auto& body) { execute(body); }, effect);
     }
-    executing_effects_ = false;
 }
 
 void leased_agent_daemon::execute(const start_request& request)
@@ -281,6 +271,7 @@
            gauge_text("tasks_waiting", host_.waiting()) +
            gauge_text("tasks_running", host_.running()) +
            counter_text("log_lines_dropped_total", dropped_log_line_count()) +
+           counter_text("unexpected_errors_total", unexpected_error_count()) +
            host_.levels().metrics();
 }
 
--- a/src/process/leased_agent_daemon.hpp
+++ b/src/process/leased_agent_daemon.hpp
@@ -6,6 +6,7 @@
 #include "tarragonlock/process/leased_protocols.hpp"
 #include "tarragonlock/process/leased_settings.hpp"
 #include "tarragonlock/process/task_host.hpp"
+#include "tarragonlock/version/entry_registrations.hpp"
 #include "tarragonlock/version/key_value_client.hpp"
 #include "tarragonlock/version/loop_store_client.hpp"
 
@@ -40,8 +41,6 @@
     /// An entry to which the agent maintains a channel.
     struct known_entry
     {
-        /// Whether the entry is registered in the store.
-        bool registered = false;
         /// Whether the settings name the entry.
         bool hinted = false;
         channel_id channel = 0;
@@ -55,7 +54,6 @@
     result<void> open();
     void on_announcement_request(http_request_id id, const http_request& request);
     void on_store_event(const store_event& event);
-    void update_registration(const std::string& key, const std::string& address);
     void on_channel_lost(channel_id channel);
     void dial_entries(instant now);
     void on_tick(instant now);
@@ -78,8 +76,7 @@
     std::unique_ptr<loop_http_server> announcements_;
     /// Entries by address.
     std::map<std::string, known_entry> entries_;
-    /// Entry addresses by the store key of their registration.
-    std::map<std::string, std::string> registered_addresses_;
+    entry_registrations registrations_;
     bool stopping_ = false;
     instant stop_requested_at_;
     std::uint64_t malformed_announcements_ = 0;
--- a/src/version/loop_store_client.cpp
+++ b/src/version/loop_store_client.cpp
@@ -84,18 +84,17 @@
     mark_reachable();
     // The pages are not a consistent snapshot: the watch starts after the revision of the first
     // page and delivers the changes made since.
-    if (read->pages.items.empty())
+    if (!read->revision)
         read->revision = page.revision;
-    const auto last_key = page.items.empty() ? "" : page.items.back().key;
     std::move(page.items.begin(), page.items.end(), std::back_inserter(read->pages.items));
-    if (page.truncated && !last_key.empty())
+    if (page.truncated && !page.last_key.empty())
     {
-        read_page(read, last_key);
+        read_page(read, page.last_key);
         return;
     }
     ++read_round_;
     reads_in_flight_ = 0;
-    revision_ = read->revision;
+    revision_ = *read->revision;
     watch_ = watch_state::ready;
     on_event_(std::move(read->pages));
     open_watch();
--- a/tests/version/loop_store_client_test.cpp
+++ b/tests/version/loop_store_client_test.cpp
@@ -49,7 +49,7 @@
 
     static store_page page(const std::string& value, std::int64_t revision, bool truncated = false)
     {
-        return {{{"key", value, revision}}, truncated, revision};
+        return {{{"key", value, revision}}, truncated, revision, "key"};
     }
 
     instant now = process_clock::now();
@@ -102,6 +102,19 @@
     BOOST_TEST(f.events.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_page_without_readable_items_does_not_end_the_read)
+{
+    fixture f;
+    f.advance(milliseconds(100));
+    f.kv_client.lists.at(0)(store_page{{}, true, 5, "odd-key"});
+    BOOST_REQUIRE_EQUAL(f.kv_client.lists.size(), 2U);
+    BOOST_TEST(f.kv_client.pages_after.at(1) == "odd-key");
+    f.kv_client.lists[1](fixture::page("rest", 8));
+    BOOST_REQUIRE_EQUAL(f.events.size(), 1U);
+    BOOST_TEST(std::get<store_snapshot>(f.events[0]).items.at(0).value == "rest");
+    BOOST_TEST(f.kv_client.watched_after == 5);
+}
+
 BOOST_AUTO_TEST_CASE(pages_of_two_reads_are_not_mixed)
 {
     fixture f;
