process: an announcement repeated after a worker's shutdown is ignored

Cause: a repeated announcement with the sequence number of the last one made a worker that had left accept tasks again. on_announcement also tells whether it applied the announcement, for the daemon's connection.

--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -213,7 +213,8 @@
     void on_channel_open(instant now, channel_id channel);
     void on_channel_lost(instant now, channel_id channel);
     void on_message(instant now, channel_id channel, const lease_message& received);
-    void on_announcement(instant now, const worker_announcement& announcement);
+    /// @return whether the announcement was applied; older ones than the last are ignored
+    bool on_announcement(instant now, const worker_announcement& announcement);
     /// The worker with this id has shut down gracefully.
     void on_worker_left(instant now, const std::string& id);
     void on_start_reply(instant now, const run_key& run, start_reply reply, std::int64_t clock_ms);
@@ -383,6 +384,8 @@
     std::uint64_t last_renewal_number_ = 0;
     instant last_renewal_sent_at_;
     /// Upper bound of the worker's lease expiry, on the agent's clock; no run goes on after it.
+    /// Whether the worker has reported its shutdown since its last announcement.
+    bool worker_left_ = false;
     instant worker_lease_end_;
     /// Whether the worker has listed its runs and every run unknown to this process has ended.
     /// Nothing is started before that.
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -36,14 +36,17 @@
 
 } // namespace
 
-void task_host::on_announcement(instant now, const worker_announcement& announcement)
+bool task_host::on_announcement(instant now, const worker_announcement& announcement)
 {
     if (worker_ && announcement.start_time_ms < worker_->start_time_ms)
-        return;
+        return false;
     const bool same_incarnation = worker_ && worker_->id == announcement.id &&
                                   worker_->start_time_ms == announcement.start_time_ms;
-    if (same_incarnation && announcement.sequence < worker_->sequence)
-        return;
+    // A repeated announcement must not bring back a worker that has left since.
+    if (same_incarnation && (announcement.sequence < worker_->sequence ||
+                             (worker_left_ && announcement.sequence == worker_->sequence)))
+        return false;
+    worker_left_ = false;
     if (!same_incarnation)
     {
         log_event(log_level::info, "worker_joined",
@@ -71,6 +74,7 @@
     send_description_if_changed(now);
     renew_if_needed(now);
     start_waiting_tasks(now);
+    return true;
 }
 
 /// Discards the state of the previous worker process. Its runs have ended, but some may already
@@ -96,6 +100,7 @@
         return;
     log_event(log_level::info, "worker_left", {{"worker", id}});
     worker_->accepting = false;
+    worker_left_ = true;
     announced_at_ = instant{};
     return_waiting_tasks(now);
     send_description_if_changed(now);
