process: workers that answer late are waited for

Change: a job is refused as no_worker only if no matching worker has accepted tasks in the last 500 ms. Until then it waits, at most until its latest start.

--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -169,6 +169,10 @@
     {
         std::string name;
         worker_description worker;
+        /// When the worker last changed from accepting tasks to refusing them.
+        instant last_accepting_at;
+        /// Whether the agent has been told that this entry needs fewer load reports.
+        bool reduced_reports = false;
         agent_report load;
         instant last_message_at;
         std::uint64_t placements_sent = 0;
@@ -231,7 +235,9 @@
                    double utilization, start_mode mode);
     void send_placements(active_job& job, std::uint32_t step, const task_assignments& assignments);
     void record_outcome(instant now, const active_job& job, leased_outcome job_outcome);
-    bool has_worker_for(const leased_job_request& request, const queue_rule& rule) const;
+    /// @return whether some worker accepts the tasks of each step, or did so until a moment ago
+    bool has_worker_for(instant now, const leased_job_request& request,
+                        const queue_rule& rule) const;
     void refuse(caller_id caller, const leased_job_request& request, leased_reason reason,
                 duration retry_after);
     void answer(instant now, job_map::iterator found, const leased_answer& reply);
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -122,6 +122,8 @@
     resources_freed_ = true;
     auto& agent = agents_[channel];
     if (agent.worker.accepting != description.accepting)
+    if (agent.worker.accepting)
+        agent.last_accepting_at = now;
         log_event(log_level::info, "worker_changed",
                   {{"agent", agent.name}, {"accepting", description.accepting ? 1 : 0}});
     agent.worker = description;
@@ -242,7 +244,7 @@
         caller_jobs_[caller] = request.id;
         return;
     }
-    if (!has_worker_for(request, rule) && now - started_ > startup_grace_period)
+    if (!has_worker_for(now, request, rule) && now - started_ > startup_grace_period)
     {
         refuse(caller, request, leased_reason::no_worker, no_worker_retry_delay);
         return;
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -14,6 +14,9 @@
 /// Cost of a worker outside the entry's failure domain, for the added latency and traffic.
 constexpr auto cross_domain_cost = milliseconds(4);
 /// Longest wait of a task in a worker's queue, about the time in which the next task there ends;
+/// How long a job may wait for a worker that has stopped accepting tasks, in case it does so only
+/// for a moment. The job is still refused at its latest start.
+constexpr auto worker_return_time = milliseconds(500);
 /// after it the task may be placed on another worker.
 constexpr auto max_queue_wait = milliseconds(40);
 /// A dispatch stops after this many consecutive jobs with tasks that could not be placed.
@@ -51,7 +54,10 @@
     return found;
 }
 
-bool leased_dispatcher::has_worker_for(const leased_job_request& request,
+bool leased_dispatcher::has_worker_for(instant now, const leased_job_request& request,
+    // A worker that answers late is not accepting for some ten milliseconds.
+    const auto usable = [now](const connected_agent& agent)
+    { return agent.worker.accepting || now - agent.last_accepting_at < worker_return_time; };
                                        const queue_rule& rule) const
 {
     return std::all_of(request.steps.begin(), request.steps.end(),
@@ -62,7 +68,8 @@
                                [&](const auto& item)
                                {
                                    const auto& worker = item.second.worker;
-                                   return worker.accepting && rule.workers.matches(worker.labels) &&
+                                   return usable(item.second) &&
+                                          rule.workers.matches(worker.labels) &&
                                           step.demand.fits_into(worker.capacity) &&
                                           (step.required_label.empty() ||
                                            worker.labels.contains(step.required_label));
