connection: entries outside an agent's failure domain get fewer load reports

Change: an entry tells the agents of other failure domains that it needs fewer reports (report_preference, frame version 4): each 200 ms at most, and with the ends of its own tasks. Entries of the same domain get 500 reports a second together, at most each 20 ms. choose_worker prefers a local worker unless a remote one is faster by half of the declared time.

--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -75,6 +75,15 @@
     friend bool operator==(const lease_renewal&, const lease_renewal&) = default;
 };
 
+/// Tells an agent how closely the entry follows its load.
+struct report_preference
+{
+    /// Whether fewer reports of changed load are enough, because the entry seldom places tasks
+    /// there.
+    bool reduced = false;
+    friend bool operator==(const report_preference&, const report_preference&) = default;
+};
+
 /// One of the tasks of a place_tasks message.
 struct placed_task
 {
@@ -153,7 +162,7 @@
 
 using lease_message = std::variant<agent_hello, worker_description, agent_report, lease_renewal,
                                    place_tasks, withdraw_job, task_end, configuration_notice,
-                                   configuration_request, configuration_copy>;
+                                   configuration_request, configuration_copy, report_preference>;
 
 /// Messages that are sent together.
 using lease_frame = std::vector<lease_message>;
--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -203,6 +203,8 @@
 
     void handle(instant now, channel_id channel, const agent_hello& hello);
     void handle(instant now, channel_id channel, const worker_description& description);
+    /// @return whether the agent's worker is outside the entry's failure domain
+    bool is_remote(const connected_agent& agent) const;
     void handle(instant now, channel_id channel, const agent_report& report);
     void handle(instant now, channel_id channel, const task_end& end);
     template<class T>
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -226,8 +226,8 @@
     /// Starts a graceful shutdown: waiting tasks are returned to their entries, runs may finish.
     void drain(instant now);
 
-    /// Sends a load report to all entries if the load has changed and the minimum interval between
-    /// such reports has passed. To be called after each batch of events.
+    /// Sends load reports to the entries that do not know the present load, each if the minimum
+    /// interval between its reports has passed. To be called after each batch of events.
     void send_load_reports(instant now);
     /// @return the effects to execute, and clears them.
     std::vector<host_effect> take_effects();
@@ -292,7 +292,17 @@
         /// Start of the entry's lease: the newest report timestamp that the entry has returned in a
         /// lease_renewal.
         instant lease_start;
+        /// When the last report with a timestamp was sent, which renews the entry's lease.
         instant report_sent_at;
+        /// When the last report of either kind was sent.
+        instant load_report_sent_at;
+        /// Value of load_version_ in the last report.
+        std::uint64_t reported_load_version = 0;
+        /// Whether a frame with another message is about to be sent, so that a report in it costs
+        /// little.
+        bool frame_pending = false;
+        /// Whether the entry has asked for fewer reports of changed load.
+        bool reduced_reports = false;
         std::uint64_t placements_received = 0;
         std::uint32_t task_count = 0;
     };
@@ -303,6 +313,7 @@
     void handle(instant now, channel_id channel, const place_tasks& request);
     void handle(instant now, channel_id channel, const withdraw_job& request);
     void handle(instant now, channel_id channel, const lease_renewal& renewal);
+    void handle(instant now, channel_id channel, const report_preference& preference);
     void handle(instant now, channel_id channel, const configuration_notice& notice);
     void handle(instant now, channel_id channel, const configuration_request& request);
     void handle(instant now, channel_id channel, const configuration_copy& copy);
@@ -331,7 +342,9 @@
     agent_report make_load_report(instant now) const;
     void send_description_if_changed(instant now);
     duration busy_report_interval() const;
-    duration load_report_interval() const;
+    /// @return the shortest interval between two reports of changed load to one entry
+    duration load_report_interval(bool reduced) const;
+    void update_load_version(instant now);
     /// @return the worker's condition as reported to the entries.
     worker_condition condition(instant now) const;
     bool may_start(instant now) const;
@@ -364,11 +377,15 @@
     std::map<run_key, instant> unknown_runs_;
     std::map<task_id, std::pair<std::uint32_t, instant>> last_run_numbers_;
     resource_amount free_;
-    resource_amount reported_free_;
-    std::size_t reported_waiting_ = 0;
-    worker_condition reported_condition_ = worker_condition::healthy;
-    instant load_reported_at_;
+    /// Load at the last increment of load_version_.
+    resource_amount versioned_free_;
+    std::size_t versioned_waiting_ = 0;
+    worker_condition versioned_condition_ = worker_condition::healthy;
+    /// Increases whenever the load that reports describe has changed.
+    std::uint64_t load_version_ = 0;
     std::optional<worker_announcement> worker_;
+    /// Whether the worker has reported its shutdown since its last announcement.
+    bool worker_left_ = false;
     instant announced_at_;
     /// Agent's clock at the time the worker's clock showed worker_clock_ms_.
     instant worker_clock_read_at_;
@@ -384,8 +401,6 @@
     std::uint64_t last_renewal_number_ = 0;
     instant last_renewal_sent_at_;
     /// Upper bound of the worker's lease expiry, on the agent's clock; no run goes on after it.
-    /// Whether the worker has reported its shutdown since its last announcement.
-    bool worker_left_ = false;
     instant worker_lease_end_;
     /// Whether the worker has listed its runs and every run unknown to this process has ended.
     /// Nothing is started before that.
--- a/include/tarragonlock/request/worker_forecast.hpp
+++ b/include/tarragonlock/request/worker_forecast.hpp
@@ -27,8 +27,8 @@
     duration mean_run{};
     /// Run times on this worker divided by declared ones.
     double slowness = 1.0;
-    /// Cost of placing a task outside the entry's failure domain; 0 inside it.
-    duration domain_crossing_cost{};
+    /// Whether the worker is outside the entry's failure domain.
+    bool remote = false;
     /// Penalty, 0 to 1, that makes each entry prefer different workers among those that are equally
     /// good.
     double tie_break_penalty = 0.0;
@@ -87,7 +87,8 @@
 /// which it still ends in time. A worker on which the task ends in time even if the declared run
 /// time is far off is preferred to one on which it does so only if the declaration is right. Among
 /// workers that are about equally good, entries choose different ones, because several entries may
-/// see the same free capacity at the same time and all assign it.
+/// see the same free capacity at the same time and all assign it. Workers in the entry's failure
+/// domain are preferred to remote ones that are not clearly better.
 /// @param workers  candidates; the chosen one is not reserved
 /// @param utilization  share of the fleet's CPU in use, 0 to 1
 /// @return the position of the chosen worker, or workers.size() when none is suitable
--- a/src/connection/lease_codec.cpp
+++ b/src/connection/lease_codec.cpp
@@ -9,7 +9,7 @@
 {
 
 /// Version of the layout of frames between entries and agents of leased jobs.
-constexpr std::uint8_t lease_frame_version = 3;
+constexpr std::uint8_t lease_frame_version = 4;
 /// Longest frame, in bytes; large enough for a configuration of a megabyte.
 constexpr std::size_t max_frame_bytes = 4U << 20U;
 
@@ -40,6 +40,7 @@
 TARRAGONLOCK_FIELDS(agent_report, v.timestamp_us, v.placements_received, v.free_resources,
                     v.queued_cpu, v.mean_run_ms, v.slowness_millis, checked(v.condition))
 TARRAGONLOCK_FIELDS(lease_renewal, v.timestamp_us)
+TARRAGONLOCK_FIELDS(report_preference, v.reduced)
 TARRAGONLOCK_FIELDS(placed_task, v.index, v.attempt)
 TARRAGONLOCK_FIELDS(place_tasks, v.job, v.spec, v.step, v.demand, v.declared_ms, v.priority,
                     v.start_within_ms, v.tasks)
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -117,16 +117,26 @@
     agent.tie_break_penalty = tie_break_penalty(options_.name, hello.name);
 }
 
-void leased_dispatcher::handle(instant, channel_id channel, const worker_description& description)
+void leased_dispatcher::handle(instant now, channel_id channel,
+                               const worker_description& description)
 {
     resources_freed_ = true;
     auto& agent = agents_[channel];
-    if (agent.worker.accepting != description.accepting)
     if (agent.worker.accepting)
         agent.last_accepting_at = now;
+    if (agent.worker.accepting != description.accepting)
         log_event(log_level::info, "worker_changed",
                   {{"agent", agent.name}, {"accepting", description.accepting ? 1 : 0}});
     agent.worker = description;
+    const bool remote = is_remote(agent);
+    if (std::exchange(agent.reduced_reports, remote) != remote)
+        effects_.emplace_back(to_agent{channel, report_preference{remote}});
+}
+
+bool leased_dispatcher::is_remote(const connected_agent& agent) const
+{
+    return !agent.worker.failure_domain.empty() &&
+           agent.worker.failure_domain != options_.failure_domain;
 }
 
 void leased_dispatcher::handle(instant, channel_id channel, const agent_report& report)
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -11,14 +11,12 @@
 
 using std::chrono::milliseconds;
 
-/// Cost of a worker outside the entry's failure domain, for the added latency and traffic.
-constexpr auto cross_domain_cost = milliseconds(4);
 /// Longest wait of a task in a worker's queue, about the time in which the next task there ends;
+/// after it the task may be placed on another worker.
+constexpr auto max_queue_wait = milliseconds(40);
 /// How long a job may wait for a worker that has stopped accepting tasks, in case it does so only
 /// for a moment. The job is still refused at its latest start.
 constexpr auto worker_return_time = milliseconds(500);
-/// after it the task may be placed on another worker.
-constexpr auto max_queue_wait = milliseconds(40);
 /// A dispatch stops after this many consecutive jobs with tasks that could not be placed.
 constexpr std::size_t max_consecutive_unplaced_jobs = 16;
 /// Jobs behind the first waiting one start all-or-nothing, unless a step needs more than this share
@@ -55,11 +53,11 @@
 }
 
 bool leased_dispatcher::has_worker_for(instant now, const leased_job_request& request,
+                                       const queue_rule& rule) const
+{
     // A worker that answers late is not accepting for some ten milliseconds.
     const auto usable = [now](const connected_agent& agent)
     { return agent.worker.accepting || now - agent.last_accepting_at < worker_return_time; };
-                                       const queue_rule& rule) const
-{
     return std::all_of(request.steps.begin(), request.steps.end(),
                        [&](const job_step& step)
                        {
@@ -105,8 +103,7 @@
         forecast.free = available_resources(agent);
         forecast.mean_run = milliseconds(agent.load.mean_run_ms);
         forecast.slowness = agent.load.slowness_millis / 1000.0;
-        if (agent.worker.failure_domain != options_.failure_domain)
-            forecast.domain_crossing_cost = cross_domain_cost;
+        forecast.remote = is_remote(agent);
         forecast.tie_break_penalty = agent.tie_break_penalty;
         forecast.on_probation = agent.load.condition == worker_condition::probation;
         forecast.placeable_tasks = max_additional_tasks(agent);
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -3,6 +3,7 @@
 #include "tarragonlock/common/log.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace tarragonlock
 {
@@ -19,10 +20,14 @@
 /// Minimum interval between two reports of changed load to all entries. An interval of 5 ms gives
 /// no better results in the replayed load, since tasks that find their resources taken are returned
 /// at once.
-constexpr auto min_load_report_interval = milliseconds(20);
-/// Maximum rate of reports of changed load to all entries together, so that the agent's traffic
+constexpr duration min_load_report_interval = milliseconds(20);
+/// The same for entries that have asked for fewer reports. They learn of the load with the ends of
+/// their own tasks as well.
+constexpr duration min_reduced_report_interval = milliseconds(200);
+/// Maximum rates of reports of changed load to all entries together, so that the agent's traffic
 /// does not grow with the number of entries.
-constexpr std::size_t max_load_reports_per_s = 600;
+constexpr int max_full_reports_per_s = 500;
+constexpr int max_reduced_reports_per_s = 100;
 /// Delay after which an unconfirmed stop request is sent again.
 constexpr auto stop_retry_interval = milliseconds(40);
 /// Delay after which the stop request for a run of an earlier agent process is sent again.
@@ -160,6 +165,11 @@
         start_waiting_tasks(now);
 }
 
+void task_host::handle(instant, channel_id channel, const report_preference& preference)
+{
+    entries_[channel].reduced_reports = preference.reduced;
+}
+
 void task_host::handle(instant, channel_id, const configuration_copy& copy)
 {
     configuration_.store_if_newer(copy);
@@ -228,6 +238,7 @@
     if (const auto entry = entries_.find(hosted.channel); entry != entries_.end())
     {
         --entry->second.task_count;
+        entry->second.frame_pending = entry->second.frame_pending || hosted.report_end;
         if (hosted.report_end)
             effects_.emplace_back(
                 to_entry{hosted.channel,
@@ -497,32 +508,51 @@
     return std::exchange(effects_, {});
 }
 
-duration task_host::load_report_interval() const
+duration task_host::load_report_interval(bool reduced) const
 {
-    const auto round = duration(std::chrono::seconds(1)) * entries_.size() / max_load_reports_per_s;
-    return std::max<duration>(min_load_report_interval, round);
+    const auto count = std::count_if(entries_.begin(), entries_.end(),
+                                     [reduced](const auto& item)
+                                     { return item.second.reduced_reports == reduced; });
+    const auto rate = reduced ? max_reduced_reports_per_s : max_full_reports_per_s;
+    return std::max<duration>(reduced ? min_reduced_report_interval : min_load_report_interval,
+                              duration(std::chrono::seconds(1)) * count / rate);
 }
 
-void task_host::send_load_reports(instant now)
+void task_host::update_load_version(instant now)
 {
-    if (now - load_reported_at_ < load_report_interval())
-        return;
     const auto queued = waiting();
     const auto current = condition(now);
-    if (free_ == reported_free_ && queued == reported_waiting_ && current == reported_condition_)
+    if (free_ == versioned_free_ && queued == versioned_waiting_ && current == versioned_condition_)
         return;
-    load_reported_at_ = now;
-    reported_free_ = free_;
-    reported_waiting_ = queued;
-    if (const auto before = std::exchange(reported_condition_, current); before != current)
+    ++load_version_;
+    versioned_free_ = free_;
+    versioned_waiting_ = queued;
+    if (const auto before = std::exchange(versioned_condition_, current); before != current)
         log_event(
             log_level::info, "worker_condition",
             {{"worker", worker_ ? worker_->id : std::string()}, {"condition", to_string(current)}});
-    auto report = make_load_report(now);
-    for (const auto& [channel, entry] : entries_)
+}
+
+void task_host::send_load_reports(instant now)
+{
+    update_load_version(now);
+    const std::array intervals{load_report_interval(false), load_report_interval(true)};
+    std::optional<agent_report> report;
+    for (auto& [channel, entry] : entries_)
     {
-        report.placements_received = entry.placements_received;
-        effects_.emplace_back(to_entry{channel, report});
+        const bool frame_pending = std::exchange(entry.frame_pending, false);
+        if (entry.reported_load_version == load_version_)
+            continue;
+        const auto interval =
+            frame_pending ? min_load_report_interval : intervals[entry.reduced_reports ? 1 : 0];
+        if (now - entry.load_report_sent_at < interval)
+            continue;
+        if (!report)
+            report = make_load_report(now);
+        report->placements_received = entry.placements_received;
+        entry.reported_load_version = load_version_;
+        entry.load_report_sent_at = now;
+        effects_.emplace_back(to_entry{channel, *report});
     }
 }
 
@@ -600,7 +630,10 @@
 
 void task_host::send_report(instant now, channel_id channel, entry_channel& entry)
 {
+    update_load_version(now);
     entry.report_sent_at = now;
+    entry.load_report_sent_at = now;
+    entry.reported_load_version = load_version_;
     auto report = make_load_report(now);
     report.placements_received = entry.placements_received;
     report.timestamp_us = static_cast<std::uint64_t>(now.time_since_epoch().count());
--- a/src/request/worker_forecast.cpp
+++ b/src/request/worker_forecast.cpp
@@ -20,6 +20,10 @@
 /// Weight of the tie-break penalty, as a share of the declared run time. With twelve entries, 0.1
 /// places more tasks on workers that other entries have filled, and 0.6 more on slow workers.
 constexpr double tie_break_weight = 0.3;
+/// Added latency of a worker outside the entry's failure domain.
+constexpr duration cross_domain_latency = std::chrono::milliseconds(4);
+/// How much faster a remote worker must be to be preferred, as a share of the declared run time.
+constexpr double cross_domain_weight = 0.5;
 /// Most tasks of the same or a higher priority that may wait at a worker.
 constexpr std::int64_t max_waiting_tasks = 2;
 /// Time for messages and for starting the task.
@@ -61,6 +65,16 @@
     return sure ? timeliness::sure : timeliness::expected;
 }
 
+/// @return cost in microseconds of placing a task outside the entry's failure domain, 0 inside it
+double cross_domain_cost(const worker_forecast& worker,
+                         std::chrono::duration<double, std::micro> declared)
+{
+    if (!worker.remote)
+        return 0.0;
+    return static_cast<double>(cross_domain_latency.count()) +
+           declared.count() * cross_domain_weight;
+}
+
 } // namespace
 
 bool worker_forecast::can_queue(const resource_amount& demand) const
@@ -97,7 +111,7 @@
         const double sparing_weight = timing == timeliness::late ? 0.0 : utilization;
         const double cost = declared.count() * ((1.0 - sparing_weight) * candidate.slowness +
                                                 sparing_weight * (slowest - candidate.slowness)) +
-                            static_cast<double>(candidate.domain_crossing_cost.count()) +
+                            cross_domain_cost(candidate, declared) +
                             declared.count() * tie_break_weight * candidate.tie_break_penalty;
         if (best != workers.size() && std::tuple(timing, cost) >= best_cost)
             continue;
@@ -122,7 +136,8 @@
         const auto timing = timeliness_of(candidate, delayed);
         if (timing == timeliness::late)
             continue;
-        const std::tuple cost(timing, delayed.waited + candidate.domain_crossing_cost);
+        const std::tuple cost(timing, delayed.waited +
+                                          (candidate.remote ? cross_domain_latency : duration{}));
         if (best != workers.size() && cost >= best_cost)
             continue;
         best = i;
--- a/tests/compare_overload.cpp
+++ b/tests/compare_overload.cpp
@@ -42,14 +42,28 @@
     double share(double count) const { return count / static_cast<double>(result.jobs); }
 };
 
-std::map<std::string, queue_total> run_pattern(leased_fleet_options options, std::uint64_t seeds)
+/// Traffic between entries and agents over all seeds.
+struct message_total
+{
+    double messages_per_s = 0.0;
+    double remote_messages_per_s = 0.0;
+    double remote_kb_per_s = 0.0;
+};
+
+std::map<std::string, queue_total> run_pattern(leased_fleet_options options, std::uint64_t seeds,
+                                               message_total& traffic)
 {
     std::map<std::string, queue_total> total;
+    const auto seconds =
+        std::chrono::duration<double>(options.length).count() * static_cast<double>(seeds);
     for (options.seed = 1; options.seed <= seeds; ++options.seed)
     {
         fakes::leased_fleet fleet(options);
         const auto result = fleet.run();
         auto bound = fleet.bound();
+        traffic.messages_per_s += static_cast<double>(result.messages) / seconds;
+        traffic.remote_messages_per_s += static_cast<double>(result.remote_messages) / seconds;
+        traffic.remote_kb_per_s += static_cast<double>(result.remote_bytes) / 1000.0 / seconds;
         for (const auto& violation : result.violations)
             std::cerr << "violation with seed " << options.seed << ": " << violation << '\n';
         for (const auto& [name, queue] : result.queues)
@@ -75,9 +89,13 @@
             continue;
         for (auto& queue : options.traffic)
             queue.work_spread = std::stod(arguments["--spread"].asString());
-        const auto shipped = run_pattern(options, seeds);
-        auto perfect = run_pattern(fakes::with_perfect_knowledge(options), seeds);
-        std::cout << name << '\n';
+        message_total traffic;
+        const auto shipped = run_pattern(options, seeds, traffic);
+        message_total ideal_traffic;
+        auto perfect = run_pattern(fakes::with_perfect_knowledge(options), seeds, ideal_traffic);
+        std::cout << name << ": messages " << traffic.messages_per_s << "/s, between domains "
+                  << traffic.remote_messages_per_s << "/s, " << traffic.remote_kb_per_s
+                  << " kB/s\n";
         for (const auto& [queue, sum] : shipped)
         {
             const auto& ideal = perfect[queue];
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -96,7 +96,7 @@
     entry.suspended_until = {};
     leased_dispatcher_options settings;
     settings.name = "entry-" + std::to_string(index);
-    settings.failure_domain = "fd-0";
+    settings.failure_domain = failure_domain(index);
     settings.wait_for_lost_agents = options_.wait_for_lost_agents;
     entry.core = std::make_unique<leased_dispatcher>(now_, settings);
 }
@@ -158,6 +158,7 @@
     auto& link = links_[{entry, agent}];
     if (link.channel != channel)
         return;
+    count_message(entry, agent, body);
     if (!(to_entry ? link.to_entry : link.to_agent))
     {
         (to_entry ? link.delayed_to_entry : link.delayed_to_agent).push_back(std::move(body));
@@ -188,6 +189,36 @@
              });
 }
 
+std::string leased_fleet::failure_domain(std::size_t process) const
+{
+    return "fd-" + std::to_string(process % options_.failure_domains);
+}
+
+worker_announcement leased_fleet::announcement_of(std::size_t agent)
+{
+    auto announcement = agents_[agent].worker->announcement(now_);
+    announcement.failure_domain = failure_domain(agent);
+    return announcement;
+}
+
+void leased_fleet::count_message(std::size_t entry, std::size_t agent, const lease_message& body)
+{
+    ++result_.messages;
+    if (entry % options_.failure_domains == agent % options_.failure_domains)
+        return;
+    ++result_.remote_messages;
+    result_.remote_bytes += encode_frame({body}).value().size();
+}
+
+std::size_t leased_fleet::choose_entry()
+{
+    if (options_.first_domain_surplus <= 0.0 || !chance(options_.first_domain_surplus))
+        return random_index(entries_.size());
+    const auto in_first_domain =
+        (entries_.size() + options_.failure_domains - 1) / options_.failure_domains;
+    return random_index(in_first_domain) * options_.failure_domains;
+}
+
 void leased_fleet::connect_all()
 {
     for (std::size_t entry = 0; entry < entries_.size(); ++entry)
@@ -386,7 +417,7 @@
 void leased_fleet::submit(const std::string& id)
 {
     auto& job = jobs_[id];
-    job.entry = random_index(entries_.size());
+    job.entry = choose_entry();
     auto& entry = entries_[job.entry];
     job.entry_incarnation = entry.incarnation;
     ++job.submissions;
@@ -697,7 +728,7 @@
             agents_[agent].worker->restart(now_);
         // The long poll fails, and the worker sends an announcement before it serves requests.
         call_process(agents_[agent],
-                     [this, agent, announcement = agents_[agent].worker->announcement(now_),
+                     [this, agent, announcement = announcement_of(agent),
                       broken = std::exchange(agents_[agent].renewals, {})]
                      {
                          for (const auto& [request, due] : broken)
@@ -757,7 +788,7 @@
             next_heartbeat = now_ + heartbeat_interval;
             for (std::size_t i = 0; i < agents_.size(); ++i)
                 call_process(agents_[i],
-                             [this, i, announcement = agents_[i].worker->announcement(now_)]
+                             [this, i, announcement = announcement_of(i)]
                              {
                                  agents_[i].core->on_announcement(now_, announcement);
                                  apply_agent_effects(i);
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -63,6 +63,11 @@
     duration fault_interval = std::chrono::milliseconds(700);
     /// Latency of a message between an entry and an agent.
     duration link_delay = std::chrono::milliseconds(1);
+    /// Number of failure domains, to which entries and agents belong in turn.
+    std::size_t failure_domains = 1;
+    /// Share of the jobs that callers send to entries of the first domain, in addition to the even
+    /// share of each domain.
+    double first_domain_surplus = 0.0;
     /// Maximum error of the run times that callers declare, in percent.
     std::uint32_t estimate_error = 40;
     /// Queues to send jobs to; when empty, all jobs go to one queue, with random task counts and
@@ -97,6 +102,11 @@
     std::uint64_t refused = 0;
     std::uint64_t faults = 0;
     std::uint64_t starts = 0;
+    /// Messages between entries and agents, and those of them that cross failure domains.
+    std::uint64_t messages = 0;
+    std::uint64_t remote_messages = 0;
+    /// Bytes of the frames that cross failure domains.
+    std::uint64_t remote_bytes = 0;
     std::vector<std::string> violations;
     std::map<std::string, queue_result> queues;
 };
@@ -174,6 +184,11 @@
     void deliver(std::size_t entry, std::size_t agent, channel_id channel, lease_message body,
                  bool to_entry);
     void connect_all();
+    std::string failure_domain(std::size_t process) const;
+    worker_announcement announcement_of(std::size_t agent);
+    /// Counts a message by the failure domains of its sender and receiver.
+    void count_message(std::size_t entry, std::size_t agent, const lease_message& body);
+    std::size_t choose_entry();
     void send_to_worker(std::size_t agent, const start_request& request);
     void send_to_worker(std::size_t agent, const stop_request& request);
     void deliver_stop_reply(std::size_t agent, std::uint64_t incarnation, const run_key& run,
--- a/tests/fakes/load_patterns.cpp
+++ b/tests/fakes/load_patterns.cpp
@@ -59,6 +59,14 @@
 {
     const auto small = mixed_fleet();
     const auto large = mixed_fleet(busy_load, 12, 44);
+    auto fleet = mixed_fleet(busy_load, 35, 160);
+    fleet.failure_domains = 5;
+    fleet.length = seconds(24);
+    auto calm_fleet = mixed_fleet(calm_load, 35, 160);
+    calm_fleet.failure_domains = 5;
+    calm_fleet.length = seconds(18);
+    auto moved_callers = calm_fleet;
+    moved_callers.first_domain_surplus = 0.3;
     auto stalled = small;
     stalled.stalled_workers = 3;
     stalled.stalled_at = seconds(8);
@@ -75,7 +83,11 @@
         {"12 entries, releases x2.5", with_floods(large, {{release, 2.5}})},
         {"12 entries, holds x3", with_floods(large, {{hold, 3.0}})},
         {"12 entries, releases x2.5, 9 of 44 lost",
-         with_lost_agents(with_floods(large, {{release, 2.5}}), 9)}};
+         with_lost_agents(with_floods(large, {{release, 2.5}}), 9)},
+        {"35 entries, calm", calm_fleet},
+        {"35 entries, callers move to one domain", moved_callers},
+        {"35 entries, releases x2.5, 16 of 160 lost",
+         with_lost_agents(with_floods(fleet, {{release, 2.5}}), 16)}};
 }
 
 leased_fleet_options load_pattern_named(std::string_view name)
@@ -92,6 +104,7 @@
 {
     options.entries = 1;
     options.link_delay = {};
+    options.failure_domains = 1;
     options.estimate_error = 0;
     return options;
 }
--- a/tests/process/leased_dispatcher_test.cpp
+++ b/tests/process/leased_dispatcher_test.cpp
@@ -26,13 +26,8 @@
     {
         entry.on_channel_open(now, channel);
         entry.on_message(now, channel, agent_hello{"worker-" + std::to_string(channel), 1});
-        worker_description worker;
-        worker.accepting = true;
-        worker.failure_domain = "fd-0";
-        worker.labels = {{"service", "clearing"}, {"r0-1", ""}};
-        worker.capacity = {16'000, 65'536, 0};
-        entry.on_message(now, channel, worker);
-        report(channel, worker.capacity, slowness_millis);
+        describe(channel, true, "fd-0");
+        report(channel, {16'000, 65'536, 0}, slowness_millis);
     }
 
     /// @param queued_cpu  demand of the highest priority's queued tasks, in thousandths of a core
@@ -50,6 +45,23 @@
         collect_effects();
     }
 
+    void describe(channel_id channel, bool accepting, const std::string& failure_domain)
+    {
+        worker_description worker;
+        worker.accepting = accepting;
+        worker.failure_domain = failure_domain;
+        worker.labels = {{"service", "clearing"}, {"r0-1", ""}};
+        worker.capacity = {16'000, 65'536, 0};
+        entry.on_message(now, channel, worker);
+        entry.on_frame_end(now);
+        collect_effects();
+    }
+    void set_accepting(channel_id channel, bool accepting) { describe(channel, accepting, "fd-0"); }
+    void set_failure_domain(channel_id channel, const std::string& failure_domain)
+    {
+        describe(channel, true, failure_domain);
+    }
+
     void submit(const std::string& id, std::uint32_t tasks, std::uint32_t declared_ms,
                 caller_id caller = 1)
     {
@@ -77,6 +89,8 @@
             {
                 if (const auto* request = std::get_if<place_tasks>(&message->body))
                     placed.emplace_back(message->channel, *request);
+                if (const auto* wanted = std::get_if<report_preference>(&message->body))
+                    preferences.emplace_back(message->channel, wanted->reduced);
                 if (const auto* request = std::get_if<withdraw_job>(&message->body))
                     withdrawn.emplace_back(message->channel, request->job);
             }
@@ -98,6 +112,7 @@
     leased_dispatcher entry{now, {"entry-0", "fd-0"}};
     std::vector<std::pair<channel_id, place_tasks>> placed;
     std::vector<std::pair<channel_id, std::string>> withdrawn;
+    std::vector<std::pair<channel_id, bool>> preferences;
     std::vector<std::pair<caller_id, leased_answer>> answers;
 };
 
@@ -352,6 +367,66 @@
     BOOST_TEST((f.answers[0].second.reason == leased_reason::no_worker));
 }
 
+BOOST_AUTO_TEST_CASE(a_job_waits_while_its_workers_answer_late)
+{
+    fixture f(1);
+    f.now += std::chrono::seconds(5);
+    f.report(1, {16'000, 65'536, 0}, 1000);
+    f.set_accepting(1, false);
+    f.now += milliseconds(50);
+    f.submit("one", 1, 200);
+    BOOST_TEST(f.answers.empty());
+    f.now += milliseconds(20);
+    f.set_accepting(1, true);
+    BOOST_TEST(f.placed_tasks() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_for_workers_that_have_left_is_refused_at_once)
+{
+    fixture f(1);
+    f.now += std::chrono::seconds(5);
+    f.set_accepting(1, false);
+    f.now += std::chrono::seconds(1);
+    f.submit("one", 1, 200);
+    BOOST_REQUIRE_EQUAL(f.answers.size(), 1U);
+    BOOST_TEST((f.answers[0].second.reason == leased_reason::no_worker));
+}
+
+BOOST_AUTO_TEST_CASE(a_job_that_waits_for_a_worker_is_refused_at_its_latest_start)
+{
+    fixture f(1);
+    f.now += std::chrono::seconds(5);
+    f.set_accepting(1, false);
+    f.submit("one", 1, 200);
+    BOOST_TEST(f.answers.empty());
+    // It may take 1.6 times 200 ms plus 60 ms, so it has to start within 180 ms.
+    f.now += milliseconds(190);
+    f.entry.on_tick(f.now);
+    f.collect_effects();
+    BOOST_REQUIRE_EQUAL(f.answers.size(), 1U);
+    BOOST_TEST((f.answers[0].second.outcome == leased_outcome::refused));
+}
+
+BOOST_AUTO_TEST_CASE(agents_in_other_failure_domains_are_asked_for_fewer_reports)
+{
+    fixture f(2);
+    f.set_failure_domain(1, "fd-1");
+    f.set_failure_domain(2, "fd-0");
+    BOOST_TEST((f.preferences == std::vector<std::pair<channel_id, bool>>{{1, true}}));
+}
+
+BOOST_AUTO_TEST_CASE(tasks_stay_in_the_failure_domain_until_it_is_full)
+{
+    fixture f(2);
+    f.set_failure_domain(1, "fd-1");
+    f.submit("one", 10, 200);
+    BOOST_REQUIRE_EQUAL(f.placed.size(), 1U);
+    BOOST_TEST(f.placed[0].first == 2U);
+    f.submit("two", 2, 200);
+    BOOST_REQUIRE_EQUAL(f.placed.size(), 2U);
+    BOOST_TEST(f.placed[1].first == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(steps_wait_for_their_predecessors)
 {
     fixture f(1);
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace tarragonlock;
 using std::chrono::milliseconds;
@@ -63,6 +64,7 @@
                 {
                     last_report = *report;
                     ++reports;
+                    ++reports_by_channel[message->channel];
                 }
             }
         }
@@ -118,6 +120,7 @@
     std::vector<start_request> starts;
     std::vector<stop_request> stops;
     std::vector<renewal_request> renewals;
+    std::map<channel_id, int> reports_by_channel;
     std::vector<task_end> ends;
     agent_report last_report;
     std::size_t reports = 0;
@@ -379,6 +382,55 @@
     BOOST_TEST(f.starts.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(repeated_announcement_does_not_bring_back_a_worker_that_left)
+{
+    fixture f;
+    auto last = f.announcement(first_start_time_ms);
+    BOOST_TEST(f.host->on_announcement(f.now, last));
+    f.host->on_worker_left(f.now, "i-1");
+    BOOST_TEST(!f.host->on_announcement(f.now, last));
+    f.place(entry_a, "one");
+    BOOST_TEST(f.starts.empty());
+    // The same worker process, which goes on after all.
+    BOOST_TEST(f.host->on_announcement(f.now, f.announcement(first_start_time_ms)));
+    f.place(entry_a, "two");
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(delayed_announcements_are_not_applied)
+{
+    fixture f;
+    auto earlier = f.announcement(first_start_time_ms);
+    BOOST_TEST(f.host->on_announcement(f.now, f.announcement(first_start_time_ms)));
+    BOOST_TEST(!f.host->on_announcement(f.now, earlier));
+    BOOST_TEST(f.host->on_announcement(f.now, f.announcement(first_start_time_ms + 500)));
+    BOOST_TEST(!f.host->on_announcement(f.now, f.announcement(first_start_time_ms)));
+}
+
+BOOST_AUTO_TEST_CASE(entry_with_reduced_reports_learns_of_its_own_task_ends_at_once)
+{
+    fixture f;
+    f.host->on_message(f.now, entry_b, report_preference{true});
+    f.place(entry_b, "one", 1);
+    f.collect_effects();
+    const auto reports_for = [&](channel_id channel, const run_listing& listing)
+    {
+        f.reports_by_channel.clear();
+        f.now += milliseconds(25);
+        f.answer_renewals(listing);
+        f.host->send_load_reports(f.now);
+        f.collect_effects();
+        return f.reports_by_channel[channel];
+    };
+    run_listing ended;
+    ended.ended.push_back({1, f.starts.at(0).run, run_end_kind::done});
+    BOOST_TEST(reports_for(entry_b, ended) == 1);
+    // The load changes again, without an end for this entry.
+    f.place(entry_a, "two", 1);
+    BOOST_TEST(reports_for(entry_b, {}) == 0);
+    BOOST_TEST(f.reports_by_channel[entry_a] == 1);
+}
+
 BOOST_AUTO_TEST_CASE(run_without_progress_is_stopped)
 {
     fixture f;
