process: a dispatch considers only workers with room

Cause: while jobs wait, each report of freed resources started a dispatch that built forecasts of all workers and matched them against up to 16 jobs in turn, although under overload nearly all workers are full. Change: workers without room for the smallest waiting task are left out once a dispatch; with more than 32 agents, frames lead to a dispatch each 25 us an agent at most. The fleet counts returned tasks.

--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -228,13 +228,19 @@
     void dispatch(instant now);
     /// @return the worker on which a task's last run failed or was stopped, if another candidate
     ///         accepts tasks.
-    static std::optional<channel_id> avoided_worker(const task& item,
-                                                    const std::vector<worker_forecast>& candidates);
+    std::optional<channel_id> avoided_worker(const active_job& job, std::uint32_t step,
+                                             std::uint32_t index,
+                                             const std::vector<worker_forecast>& all) const;
+    /// @return the workers at which the smallest of the waiting tasks could start or wait
+    std::vector<worker_forecast> workers_with_room(const std::vector<worker_forecast>& all) const;
     static bool is_large_for_fleet(const active_job& job,
                                    const std::vector<worker_forecast>& workers);
+    /// @param all          every accepting worker
+    /// @param workers      those to place tasks on; placed tasks are reserved there
+    /// @param utilization  share of the fleet's CPU in use, 0 to 1
     /// @return whether every ready task of the job has been placed.
-    bool place_job(instant now, active_job& job, std::vector<worker_forecast>& workers,
-                   double utilization, start_mode mode);
+    bool place_job(instant now, active_job& job, const std::vector<worker_forecast>& all,
+                   std::vector<worker_forecast>& workers, double utilization, start_mode mode);
     void send_placements(active_job& job, std::uint32_t step, const task_assignments& assignments);
     void record_outcome(instant now, const active_job& job, leased_outcome job_outcome);
     /// @return whether some worker accepts the tasks of each step, or did so until a moment ago
@@ -262,6 +268,7 @@
     std::uint64_t last_sequence_ = 0;
     /// Whether resources may have been freed since the last dispatch.
     bool resources_freed_ = false;
+    instant last_dispatch_at_;
     std::vector<dispatcher_effect> effects_;
     leased_dispatcher_counters counters_;
     service_levels levels_;
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -20,6 +20,11 @@
 constexpr int idle_agent_timeout_factor = 3;
 /// The answer has to be sent this long before the caller stops waiting.
 constexpr auto answer_margin = milliseconds(30);
+/// While jobs wait, freed resources lead to a dispatch at most once in this time for each agent
+/// above the first ones, because both the number of reports and the cost of a dispatch grow with
+/// the agents.
+constexpr auto dispatch_interval_per_agent = std::chrono::microseconds(25);
+constexpr std::size_t agents_without_dispatch_interval = 32;
 /// Agents connect to a new entry within this time. Until then a job that no connected worker may
 /// run is not refused but waits, at most until its latest start.
 constexpr auto startup_grace_period = milliseconds(1000);
@@ -95,8 +100,14 @@
 
 void leased_dispatcher::on_frame_end(instant now)
 {
-    if (std::exchange(resources_freed_, false))
-        dispatch(now);
+    if (!resources_freed_)
+        return;
+    const auto limited_agents = std::max(agents_.size(), agents_without_dispatch_interval) -
+                                agents_without_dispatch_interval;
+    if (now - last_dispatch_at_ < dispatch_interval_per_agent * limited_agents)
+        return;
+    resources_freed_ = false;
+    dispatch(now);
 }
 
 void leased_dispatcher::handle(instant now, channel_id channel, const agent_hello& hello)
@@ -460,8 +471,9 @@
     if (!job.rank || !job.rank->late || job.may_have_started())
         return;
     // A late start on a worker that is too slow for the job is better than none.
-    auto workers = forecasts();
-    place_job(now, job, workers, cpu_utilization(workers), start_mode::partial_allowed);
+    const auto all = forecasts();
+    auto workers = all;
+    place_job(now, job, all, workers, cpu_utilization(all), start_mode::partial_allowed);
     if (!job.may_have_started())
         answer(now, found,
                {leased_outcome::refused, leased_reason::overloaded,
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -202,8 +202,10 @@
 {
     if (waiting_.empty())
         return;
-    auto workers = forecasts();
-    const auto utilization = cpu_utilization(workers);
+    last_dispatch_at_ = now;
+    const auto all = forecasts();
+    auto workers = workers_with_room(all);
+    const auto utilization = cpu_utilization(all);
     std::vector<std::string> order;
     order.reserve(waiting_.size());
     for (const auto& [rank, id] : waiting_)
@@ -215,13 +217,40 @@
         auto& job = *jobs_.find(id)->second;
         const auto mode =
             std::exchange(first, false) ? start_mode::partial_allowed : start_mode::all_or_nothing;
-        consecutive_unplaced_jobs =
-            place_job(now, job, workers, utilization, mode) ? 0 : consecutive_unplaced_jobs + 1;
+        consecutive_unplaced_jobs = place_job(now, job, all, workers, utilization, mode)
+                                        ? 0
+                                        : consecutive_unplaced_jobs + 1;
         if (consecutive_unplaced_jobs >= max_consecutive_unplaced_jobs)
             return;
     }
 }
 
+std::vector<worker_forecast>
+leased_dispatcher::workers_with_room(const std::vector<worker_forecast>& all) const
+{
+    constexpr auto unlimited = std::numeric_limits<std::int64_t>::max();
+    resource_amount smallest{unlimited, unlimited, unlimited};
+    for (const auto& [rank, id] : waiting_)
+    {
+        for (const auto& step : jobs_.find(id)->second->request.steps)
+        {
+            smallest.cpu_millis = std::min(smallest.cpu_millis, step.demand.cpu_millis);
+            smallest.memory_mb = std::min(smallest.memory_mb, step.demand.memory_mb);
+            smallest.accelerators = std::min(smallest.accelerators, step.demand.accelerators);
+        }
+    }
+    std::vector<worker_forecast> found;
+    for (const auto& each : all)
+    {
+        // Only tasks of the highest priority are certain to be ahead of a waiting job's.
+        auto shortest_queue = each;
+        shortest_queue.queued_cpu_millis = agents_.at(each.worker).load.queued_cpu.front();
+        if (each.has_free_capacity(smallest) || shortest_queue.can_queue(smallest))
+            found.push_back(each);
+    }
+    return found;
+}
+
 /// @return whether a step of the job needs so much of the fleet that the job would wait too long
 ///         until all of its tasks can be placed at once.
 bool leased_dispatcher::is_large_for_fleet(const active_job& job,
@@ -239,24 +268,27 @@
 }
 
 std::optional<channel_id>
-leased_dispatcher::avoided_worker(const task& item, const std::vector<worker_forecast>& candidates)
+leased_dispatcher::avoided_worker(const active_job& job, std::uint32_t step, std::uint32_t index,
+                                  const std::vector<worker_forecast>& all) const
 {
-    if (!item.last_failed_worker)
+    const auto& last_failed = job.steps[step][index].last_failed_worker;
+    if (!last_failed)
         return std::nullopt;
+    const auto candidates = eligible_workers(all, job, step);
     const bool others =
         std::any_of(candidates.begin(), candidates.end(),
-                    [&](const worker_forecast& each) {
-                        return each.worker != *item.last_failed_worker && each.placeable_tasks > 0;
-                    });
-    return others ? item.last_failed_worker : std::nullopt;
+                    [&](const worker_forecast& each)
+                    { return each.worker != *last_failed && each.placeable_tasks > 0; });
+    return others ? last_failed : std::nullopt;
 }
 
 bool leased_dispatcher::place_job(instant now, active_job& job,
+                                  const std::vector<worker_forecast>& all,
                                   std::vector<worker_forecast>& workers, double utilization,
                                   start_mode mode)
 {
     const bool all_or_nothing = mode == start_mode::all_or_nothing && !job.may_have_started() &&
-                                !is_large_for_fleet(job, workers);
+                                !is_large_for_fleet(job, all);
     bool placed_all = true;
     bool placed_any = false;
     for (std::uint32_t step = 0; step < job.steps.size(); ++step)
@@ -273,7 +305,7 @@
         task_assignments assignments;
         for (const auto index : tasks)
         {
-            request.excluded_worker = avoided_worker(job.steps[step][index], candidates);
+            request.excluded_worker = avoided_worker(job, step, index, all);
             auto best = choose_worker(candidates, request, utilization);
             auto wait = duration(0);
             if (best == candidates.size())
--- a/tests/compare_overload.cpp
+++ b/tests/compare_overload.cpp
@@ -48,6 +48,8 @@
     double messages_per_s = 0.0;
     double remote_messages_per_s = 0.0;
     double remote_kb_per_s = 0.0;
+    double tasks_placed = 0.0;
+    double tasks_returned = 0.0;
 };
 
 std::map<std::string, queue_total> run_pattern(leased_fleet_options options, std::uint64_t seeds,
@@ -61,6 +63,8 @@
         fakes::leased_fleet fleet(options);
         const auto result = fleet.run();
         auto bound = fleet.bound();
+        traffic.tasks_placed += static_cast<double>(result.tasks_placed);
+        traffic.tasks_returned += static_cast<double>(result.tasks_returned);
         traffic.messages_per_s += static_cast<double>(result.messages) / seconds;
         traffic.remote_messages_per_s += static_cast<double>(result.remote_messages) / seconds;
         traffic.remote_kb_per_s += static_cast<double>(result.remote_bytes) / 1000.0 / seconds;
@@ -95,7 +99,8 @@
         auto perfect = run_pattern(fakes::with_perfect_knowledge(options), seeds, ideal_traffic);
         std::cout << name << ": messages " << traffic.messages_per_s << "/s, between domains "
                   << traffic.remote_messages_per_s << "/s, " << traffic.remote_kb_per_s
-                  << " kB/s\n";
+                  << " kB/s, returned tasks " << traffic.tasks_returned / traffic.tasks_placed
+                  << '\n';
         for (const auto& [queue, sum] : shipped)
         {
             const auto& ideal = perfect[queue];
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -849,6 +849,11 @@
     }
     result_.starts = tracker_.starts;
     result_.violations = tracker_.violations;
+    for (const auto& entry : entries_)
+    {
+        result_.tasks_placed += entry.core->counters().tasks_placed;
+        result_.tasks_returned += entry.core->counters().tasks_returned;
+    }
     return result_;
 }
 
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -105,6 +105,9 @@
     /// Messages between entries and agents, and those of them that cross failure domains.
     std::uint64_t messages = 0;
     std::uint64_t remote_messages = 0;
+    /// Tasks that entries sent to agents, and those of them that came back without a start.
+    std::uint64_t tasks_placed = 0;
+    std::uint64_t tasks_returned = 0;
     /// Bytes of the frames that cross failure domains.
     std::uint64_t remote_bytes = 0;
     std::vector<std::string> violations;
