--- a/tests/explore_leased.cpp
+++ b/tests/explore_leased.cpp
@@ -17,7 +17,7 @@
 
 Usage:
   explore_leased [--seeds N] [--first-seed S] [--without MECHANISM] [--until-found] [--trace]
-                 [--unseen-restarts] [--replaced-workers]
+                 [--unseen-restarts] [--replaced-workers] [--domains N]
 
 Options:
   --seeds N            Schedules to run [default: 100].
@@ -28,6 +28,7 @@
   --unseen-restarts    Restart workers also while their agent is suspended or down.
   --replaced-workers   Replace workers by others, also while their agent is suspended or
                        down.
+  --domains N          Failure domains of entries and agents [default: 1].
   --trace              Print the steps of each schedule.
 
 Exit status: 0 without violations, 1 with.
@@ -69,6 +70,7 @@
             mechanisms.at(arguments["--without"].asString())(options);
         options.unseen_restarts = arguments["--unseen-restarts"].asBool();
         options.replaced_workers = arguments["--replaced-workers"].asBool();
+        options.failure_domains = static_cast<std::size_t>(arguments["--domains"].asLong());
         if (arguments["--trace"].asBool())
             options.trace = [seed](const std::string& line)
             { std::cout << "seed " << seed << ": " << line << '\n'; };
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -208,6 +208,8 @@
         return;
     ++result_.remote_messages;
     result_.remote_bytes += encode_frame({body}).value().size();
+    if (const auto* placement = std::get_if<place_tasks>(&body))
+        result_.remote_tasks_placed += placement->tasks.size();
 }
 
 std::size_t leased_fleet::choose_entry()
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -108,6 +108,8 @@
     /// Tasks that entries sent to agents, and those of them that came back without a start.
     std::uint64_t tasks_placed = 0;
     std::uint64_t tasks_returned = 0;
+    /// Tasks that were sent to agents in other failure domains.
+    std::uint64_t remote_tasks_placed = 0;
     /// Bytes of the frames that cross failure domains.
     std::uint64_t remote_bytes = 0;
     std::vector<std::string> violations;
--- a/tests/request/overload_test.cpp
+++ b/tests/request/overload_test.cpp
@@ -60,6 +60,30 @@
     BOOST_TEST(result.queues["hold"].in_time_share() >= min_share_normal_load);
 }
 
+BOOST_AUTO_TEST_CASE(many_entries_keep_work_in_their_failure_domain)
+{
+    const auto result = run_load(load_pattern_named("35 entries, calm"));
+    for (const auto& [name, queue] : result.queues)
+        BOOST_TEST(queue.in_time_share() >= min_share_normal_load, name);
+    // Without a preference for the own domain, four of five tasks would cross domains.
+    BOOST_TEST(result.remote_tasks_placed * 5 < result.tasks_placed);
+}
+
+BOOST_AUTO_TEST_CASE(callers_that_move_to_one_domain_are_served_by_the_others)
+{
+    const auto result = run_load(load_pattern_named("35 entries, callers move to one domain"));
+    for (const auto& [name, queue] : result.queues)
+        BOOST_TEST(queue.in_time_share() >= min_share_normal_load, name);
+}
+
+BOOST_AUTO_TEST_CASE(many_entries_in_an_overload_with_a_tenth_of_the_workers_lost)
+{
+    auto result = run_load(load_pattern_named("35 entries, releases x2.5, 16 of 160 lost"));
+    BOOST_TEST(result.queues["lookup"].in_time_share() >= min_share_urgent);
+    BOOST_TEST(result.queues["hold"].in_time_share() >= min_share_urgent);
+    BOOST_TEST(result.queues["release"].in_time_share() >= min_share_any_queue);
+}
+
 BOOST_AUTO_TEST_CASE(overload_of_short_jobs_leaves_other_queues_their_share)
 {
     auto result = run_load(load_pattern_named("lookups x1.9"));
