process: agents notice unanswered starts within some 10 ms

Cause: while 6% of the orders get no answer, two of five lookups (eight tasks) lose a start. The agent noticed it after 20 ms and up to a tick of 20 ms more, about the time that a lookup has to spare. The fleet plays unanswered starts (load pattern with 9 of 44 workers lost).

--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -22,6 +22,9 @@
 constexpr auto dial_timeout = milliseconds(200);
 /// The process exits this long before the grace period of a shutdown ends.
 constexpr auto shutdown_margin = milliseconds(300);
+/// Time between ticks while tasks run. Short, because a start request without an answer delays its
+/// job by its timeout and the time until the next tick.
+constexpr auto busy_tick_interval = milliseconds(5);
 /// Longest announcement; workers send less than a kilobyte.
 constexpr std::uint64_t max_announcement_bytes = 64U << 10U;
 
@@ -38,7 +41,7 @@
              [this](const store_event& event) { on_store_event(event); }),
       process_(loop, {[this](instant now) { on_tick(now); }, [this](instant now) { on_stop(now); },
                       [this] { reload_settings(settings_); }, [this] { return metrics(); },
-                      [this] { return !host_.idle(); }})
+                      [this] { return !host_.idle(); }, busy_tick_interval})
 {
     channels_ =
         frame_channels::create(loop, {[this](channel_id channel)
--- a/src/process/loop_process.cpp
+++ b/src/process/loop_process.cpp
@@ -11,10 +11,8 @@
 namespace
 {
 
-/// Time between ticks while jobs or tasks are in progress; limits the precision of timeouts.
-constexpr auto busy_tick_interval = std::chrono::milliseconds(20);
-/// Time between ticks otherwise.
-constexpr auto idle_tick_interval = std::chrono::milliseconds(50);
+/// Time between ticks while no jobs or tasks are in progress.
+constexpr duration idle_tick_interval = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -55,7 +53,7 @@
 
 void loop_process::schedule_tick()
 {
-    timer_.expires_after(handlers_.busy() ? busy_tick_interval : idle_tick_interval);
+    timer_.expires_after(handlers_.busy() ? handlers_.busy_tick_interval : idle_tick_interval);
     timer_.async_wait(
         [this](boost::system::error_code error)
         {
--- a/src/process/loop_process.hpp
+++ b/src/process/loop_process.hpp
@@ -29,6 +29,8 @@
         std::function<std::string()> metrics;
         /// @return whether jobs or tasks are in progress, which shortens the time between ticks.
         std::function<bool()> busy;
+        /// Time between ticks while busy; limits the precision of timeouts.
+        duration busy_tick_interval = std::chrono::milliseconds(20);
     };
 
     loop_process(boost::asio::io_context& loop, handlers callbacks);
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -323,10 +323,16 @@
                          apply_agent_effects(agent);
                      });
     };
-    const bool late = faults_enabled_ && options_.fault_interval.count() > 0 && chance(0.02);
+    const auto elapsed = now_ - fleet_begin;
+    const bool unanswered = options_.unanswered_starts > 0.0 &&
+                            elapsed >= options_.unanswered_from &&
+                            elapsed < options_.unanswered_from + options_.unanswered_for &&
+                            chance(options_.unanswered_starts);
+    const bool late =
+        unanswered || (faults_enabled_ && options_.fault_interval.count() > 0 && chance(0.02));
     const bool lost = faults_enabled_ && options_.fault_interval.count() > 0 && chance(0.02);
     if (late || lost)
-        schedule(request_timeout, [reply_to] { reply_to(start_reply::no_answer, 0); });
+        schedule(options_.start_timeout, [reply_to] { reply_to(start_reply::no_answer, 0); });
     schedule(
         late ? random_time(2000, 12'000) : duration(request_delay),
         [this, agent, request, work, fails, reply_to, silent = late || lost]
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -84,6 +84,13 @@
     std::size_t stalled_workers = 0;
     duration stalled_at{};
     duration stalled_for{};
+    /// Share of the start requests that get no answer and arrive seconds late, from
+    /// unanswered_from on, for unanswered_for.
+    double unanswered_starts = 0.0;
+    duration unanswered_from{};
+    duration unanswered_for{};
+    /// Time after which an agent takes a start request for unanswered.
+    duration start_timeout = std::chrono::milliseconds(250);
     task_host_mechanisms host;
     bool wait_for_lost_agents = true;
     /// Whether workers also restart while their agent is suspended or down.
--- a/tests/fakes/load_patterns.cpp
+++ b/tests/fakes/load_patterns.cpp
@@ -59,6 +59,11 @@
 {
     const auto small = mixed_fleet();
     const auto large = mixed_fleet(busy_load, 12, 44);
+    auto unanswered = with_lost_agents(with_floods(large, {{release, 2.5}}), 9);
+    unanswered.unanswered_starts = 0.06;
+    unanswered.unanswered_from = seconds(4);
+    unanswered.unanswered_for = seconds(9);
+    unanswered.start_timeout = std::chrono::milliseconds(10);
     auto fleet = mixed_fleet(busy_load, 35, 160);
     fleet.failure_domains = 5;
     fleet.length = seconds(24);
@@ -84,6 +89,7 @@
         {"12 entries, holds x3", with_floods(large, {{hold, 3.0}})},
         {"12 entries, releases x2.5, 9 of 44 lost",
          with_lost_agents(with_floods(large, {{release, 2.5}}), 9)},
+        {"12 entries, releases x2.5, 9 of 44 lost, 6% of starts unanswered", unanswered},
         {"35 entries, calm", calm_fleet},
         {"35 entries, callers move to one domain", moved_callers},
         {"35 entries, releases x2.5, 16 of 160 lost",
