--- a/tests/process/leased_fleet_test.py
+++ b/tests/process/leased_fleet_test.py
@@ -7,6 +7,7 @@
 import pathlib
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -264,6 +265,49 @@
                "a configuration stored after the outage is in force")
 
 
+ENTRY_PREFIX = "tarragonlock/entries/"
+ODD_ENTRIES = [b"127.0.0.1:0", b"127.0.0.1:65536", b"127.0.0.1:99999", b"127.0.0.1", b"", b"[::1]:7720",
+               b"127.0.0.1:" + b"9" * 400, b"[" * 100_000, b"\xff\xfe", b"x" * 500_000]
+ODD_BODIES = [b"[" * 60_000, b'{"a":' * 10_000, b"{", b"", b"null", b'{"service":1e999}', b"\xff\xfe",
+              b'{"service":"desk","address":"127.0.0.1:99999","zone":"fd-1","state":"ready",'
+              b'"capacity":{"cpu":4000},"born":99999999999999,"seq":1}']
+
+
+def send_raw(address, content):
+    """Sends bytes to a TCP address and waits until the peer closes or some time has passed."""
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port)), timeout=WAIT_LIMIT_S) as connection:
+        connection.settimeout(0.3)
+        try:
+            connection.sendall(content)
+            connection.recv(1)
+        except OSError:
+            pass  # The peer may close or reset the connection, or wait for more.
+
+
+def check_odd_input(fleet):
+    for number, value in enumerate(ODD_ENTRIES):
+        fleet.store.put(f"{ENTRY_PREFIX}odd-{number}", value)
+    # An address in the list that the agents do not have from their settings.
+    with socket.create_server(("127.0.0.4", PEER_PORT)) as listener:
+        listener.settimeout(WAIT_LIMIT_S)
+        fleet.store.put(ENTRY_PREFIX + "third", f"127.0.0.4:{PEER_PORT}".encode())
+        listener.accept()[0].close()
+        fleet.store.delete(ENTRY_PREFIX + "third")
+    expect(True, "agents follow the list of entries in spite of odd ones")
+    for body in ODD_BODIES:
+        head = f"PUT /-/instances/i-0 HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n"
+        send_raw(f"127.0.0.1:{BASE_PORT + 40}", head.encode() + body)
+        post = f"POST /lots/{7:016x} HTTP/1.1\r\nHost: desk.example\r\nContent-Length: {len(body)}\r\n\r\n"
+        send_raw(fleet.entry_address(0), post.encode() + body)
+    for frame in (b"\xff" * 64, b"\x04\0\0\0\x04\xff\xff\xff", b"\x08\0\0\0\x04\1\0\0\0\0\0\0"):
+        send_raw(f"{HOSTS[0]}:{PEER_PORT}", frame)
+    expect(all(process.poll() is None for process in fleet.processes.running.values()),
+           "no process ends on malformed input")
+    eventually(lambda: call(fleet.entry_address(0), "POST", *job_request(700))[0] == 200,
+               "the fleet serves jobs after malformed input")
+
+
 def check_reload(fleet):
     settings, log = (fleet.folder / f"agent-0.{kind}" for kind in ("yaml", "log"))
     text = settings.read_text(encoding="utf-8")
@@ -346,7 +390,7 @@
                 worker.started_tasks.clear()
             for check in (check_without_faults, check_flood, check_lost_answers,
                           check_stalled_worker, check_entry_killed, check_agent_killed,
-                          check_configuration, check_reload, check_status, check_graceful_stop,
+                          check_configuration, check_odd_input, check_reload, check_status, check_graceful_stop,
                           check_drain, check_logs):
                 check(fleet)
         finally:
