--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -396,6 +396,8 @@
     std::uint64_t fence_step_ = 1;
     std::uint64_t last_end_received_ = 0;
     std::uint64_t last_end_acknowledged_ = 0;
+    /// Worker's clock in the newest listing of this worker process.
+    std::int64_t last_listing_clock_ms_ = 0;
     /// Send times of the renewals without an answer so far, by number.
     std::map<std::uint64_t, instant> pending_renewals_;
     std::uint64_t last_renewal_number_ = 0;
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -83,6 +83,7 @@
 {
     last_end_received_ = 0;
     last_end_acknowledged_ = 0;
+    last_listing_clock_ms_ = 0;
     health_.reset();
     worker_reconciled_ = false;
     unknown_runs_.clear();
@@ -239,6 +240,10 @@
         last_end_received_ = end.number;
         on_run_end(now, end);
     }
+    // Answers to overlapping renewals may arrive in another order; an older listing still has runs
+    // whose end a newer one has reported.
+    const bool outdated = listing.clock_ms < last_listing_clock_ms_;
+    last_listing_clock_ms_ = std::max(last_listing_clock_ms_, listing.clock_ms);
     std::set<run_key> running;
     for (const auto& [run, percent_done] : listing.running)
     {
@@ -246,7 +251,7 @@
         auto* task = find_run(run);
         if (task == nullptr)
         {
-            if (!options_.mechanisms.stop_unknown_runs)
+            if (outdated || !options_.mechanisms.stop_unknown_runs)
                 continue;
             if (unknown_runs_.try_emplace(run, now).second)
                 effects_.emplace_back(stop_request{run, fence_});
@@ -263,7 +268,9 @@
         else if (task->state == task_state::running)
             check_progress(now, *task, percent_done, listing.clock_ms);
     }
-    std::erase_if(unknown_runs_, [&](const auto& item) { return !running.contains(item.first); });
+    if (!outdated)
+        std::erase_if(unknown_runs_,
+                      [&](const auto& item) { return !running.contains(item.first); });
     for (auto task = tasks_.begin(); task != tasks_.end();)
     {
         auto& hosted = task->second;
