--- a/tests/version/entry_registrations_test.cpp
+++ b/tests/version/entry_registrations_test.cpp
@@ -23,7 +23,7 @@
                                           "[::1]:8166",
                                           "host:8166",
                                           "10.1.0.13:8166 ",
-                                          "\xff\xfe\x00",
+                                          "\xff\xfe",
                                           std::string(100'000, '['),
                                           std::string(1U << 20U, 'x')};
 
