--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -75,11 +75,10 @@
     friend bool operator==(const lease_renewal&, const lease_renewal&) = default;
 };
 
-/// Tells an agent how closely the entry follows its load.
+/// Sets the rate at which an agent reports changes of its load to the entry.
 struct report_preference
 {
-    /// Whether fewer reports of changed load are enough, because the entry seldom places tasks
-    /// there.
+    /// Whether to reduce the rate; set for agents outside the entry's failure domain.
     bool reduced = false;
     friend bool operator==(const report_preference&, const report_preference&) = default;
 };
--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -171,7 +171,7 @@
         worker_description worker;
         /// When the worker last changed from accepting tasks to refusing them.
         instant last_accepting_at;
-        /// Whether the agent has been told that this entry needs fewer load reports.
+        /// Value of the last report_preference sent to the agent.
         bool reduced_reports = false;
         agent_report load;
         instant last_message_at;
@@ -243,7 +243,7 @@
                    std::vector<worker_forecast>& workers, double utilization, start_mode mode);
     void send_placements(active_job& job, std::uint32_t step, const task_assignments& assignments);
     void record_outcome(instant now, const active_job& job, leased_outcome job_outcome);
-    /// @return whether some worker accepts the tasks of each step, or did so until a moment ago
+    /// @return whether each step has a matching worker that accepts tasks or did so recently
     bool has_worker_for(instant now, const leased_job_request& request,
                         const queue_rule& rule) const;
     void refuse(caller_id caller, const leased_job_request& request, leased_reason reason,
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -226,7 +226,7 @@
     /// Starts a graceful shutdown: waiting tasks are returned to their entries, runs may finish.
     void drain(instant now);
 
-    /// Sends load reports to the entries that do not know the present load, each if the minimum
+    /// Sends load reports to the entries whose last report is outdated, each if the minimum
     /// interval between its reports has passed. To be called after each batch of events.
     void send_load_reports(instant now);
     /// @return the effects to execute, and clears them.
@@ -298,8 +298,7 @@
         instant load_report_sent_at;
         /// Value of load_version_ in the last report.
         std::uint64_t reported_load_version = 0;
-        /// Whether a frame with another message is about to be sent, so that a report in it costs
-        /// little.
+        /// Whether a task end is queued for the entry; a report in the same frame costs little.
         bool frame_pending = false;
         /// Whether the entry has asked for fewer reports of changed load.
         bool reduced_reports = false;
@@ -342,6 +341,7 @@
     agent_report make_load_report(instant now) const;
     void send_description_if_changed(instant now);
     duration busy_report_interval() const;
+    /// @param reduced  whether for entries with reduced reports
     /// @return the shortest interval between two reports of changed load to one entry
     duration load_report_interval(bool reduced) const;
     void update_load_version(instant now);
--- a/src/connection/frame_channel.cpp
+++ b/src/connection/frame_channel.cpp
@@ -215,7 +215,7 @@
             fail("malformed frame");
             return;
         }
-        // The peers start again with a new channel, because this frame may be half applied.
+        // The frame may be half applied, and only a new channel restores a consistent state.
         if (!guarded_call("frame",
                           [&] { owner_.events().on_frame(id_, std::move(frame).value()); }))
         {
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -20,9 +20,9 @@
 constexpr int idle_agent_timeout_factor = 3;
 /// The answer has to be sent this long before the caller stops waiting.
 constexpr auto answer_margin = milliseconds(30);
-/// While jobs wait, freed resources lead to a dispatch at most once in this time for each agent
-/// above the first ones, because both the number of reports and the cost of a dispatch grow with
-/// the agents.
+/// Minimum time between two dispatches caused by freed resources, per agent in excess of
+/// agents_without_dispatch_interval. Both the report rate and the cost of a dispatch are
+/// proportional to the number of agents.
 constexpr auto dispatch_interval_per_agent = std::chrono::microseconds(25);
 constexpr std::size_t agents_without_dispatch_interval = 32;
 /// Agents connect to a new entry within this time. Until then a job that no connected worker may
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -14,8 +14,9 @@
 /// Longest wait of a task in a worker's queue, about the time in which the next task there ends;
 /// after it the task may be placed on another worker.
 constexpr auto max_queue_wait = milliseconds(40);
-/// How long a job may wait for a worker that has stopped accepting tasks, in case it does so only
-/// for a moment. The job is still refused at its latest start.
+/// Time for which a worker that has stopped accepting tasks still counts as available to new jobs,
+/// because late answers interrupt its availability only briefly. A job that waits for it is refused
+/// at its latest start.
 constexpr auto worker_return_time = milliseconds(500);
 /// A dispatch stops after this many consecutive jobs with tasks that could not be placed.
 constexpr std::size_t max_consecutive_unplaced_jobs = 16;
@@ -55,7 +56,6 @@
 bool leased_dispatcher::has_worker_for(instant now, const leased_job_request& request,
                                        const queue_rule& rule) const
 {
-    // A worker that answers late is not accepting for some ten milliseconds.
     const auto usable = [now](const connected_agent& agent)
     { return agent.worker.accepting || now - agent.last_accepting_at < worker_return_time; };
     return std::all_of(request.steps.begin(), request.steps.end(),
@@ -242,7 +242,8 @@
     std::vector<worker_forecast> found;
     for (const auto& each : all)
     {
-        // Only tasks of the highest priority are certain to be ahead of a waiting job's.
+        // The queue ahead of a task depends on its priority; the shortest possible one contains
+        // only tasks of the highest priority.
         auto shortest_queue = each;
         shortest_queue.queued_cpu_millis = agents_.at(each.worker).load.queued_cpu.front();
         if (each.has_free_capacity(smallest) || shortest_queue.can_queue(smallest))
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -17,15 +17,13 @@
 constexpr int entry_lease_divisor = 2;
 /// Minimum time between the latest possible end of a lost entry's runs and the caller's resend.
 constexpr auto resend_margin = milliseconds(80);
-/// Minimum interval between two reports of changed load to all entries. An interval of 5 ms gives
-/// no better results in the replayed load, since tasks that find their resources taken are returned
-/// at once.
+/// Minimum interval between two reports of changed load to one entry. Between reports, tasks whose
+/// resources are taken are returned at once.
 constexpr duration min_load_report_interval = milliseconds(20);
-/// The same for entries that have asked for fewer reports. They learn of the load with the ends of
-/// their own tasks as well.
+/// The same for entries with reduced reports, which also receive a report with each task end.
 constexpr duration min_reduced_report_interval = milliseconds(200);
-/// Maximum rates of reports of changed load to all entries together, so that the agent's traffic
-/// does not grow with the number of entries.
+/// Maximum number of reports of changed load per second, summed over the entries with full and with
+/// reduced reports, so that the agent's traffic does not grow with the number of entries.
 constexpr int max_full_reports_per_s = 500;
 constexpr int max_reduced_reports_per_s = 100;
 /// Delay after which an unconfirmed stop request is sent again.
