--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -166,6 +167,7 @@
 
     def stop(self):
         for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
             process.kill()
         for process in self.processes.values():
             process.wait()
@@ -204,6 +206,8 @@
 def main(case, scenario, **options):
     """Runs a scenario; returns the exit status. The scenario returns the broken rules as lines."""
     fleet = None
+    # A test that is ended from outside ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     try:
         fleet = Fleet(case, **options)
         fleet.start_all()
