process: a request counts from its arrival after a stall, and nothing is placed before all input is read

Cause: the entry counted a job's time from when it read the request, and handed the request on before it looked for the end of the connection. A job that had been read before the stop had the same fault: the first report of an agent placed it before the timer of its deadline or the end of its caller's connection.

Until everything that had arrived is read, a request is as old as the stall, and the dispatcher places nothing and gives no agent up. A request is marked when its client has closed the connection before it was read. Jobs past their deadline are refused, or not placed. Agents return a placement that they read after its entry's lease is over, and don't repeat a refused start then; the test placement_waits_... allowed a start after the next renewal and is replaced by one that allows none.

Ruled out: the end of the connection alone (it may be lost), the agents' leases (a frozen entry's kernel accepts new channels, whose leases are fresh).

--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -87,6 +87,11 @@
     /// answer is a to_caller effect; a refusal at submission is available when this returns.
     void submit(instant now, caller_id caller, leased_job_request request, const queue_rule& rule);
     void on_caller_disconnected(instant now, caller_id caller);
+    /// Places no task until resume_placements(). To be called when the process runs again after a
+    /// stall: the ends of callers' connections and frames of agents may still be unread.
+    void hold_placements() { placements_held_ = true; }
+    /// To be called when all input that arrived during the stall has been handled.
+    void resume_placements(instant now);
     /// Stops a job on request.
     /// @return whether the entry had this job
     bool cancel(instant now, const std::string& id);
@@ -253,6 +258,9 @@
     void schedule_timer(instant when, const std::string& id);
     void apply_task_end(instant now, job_map::iterator found, task& ended, task_end_kind kind);
     void on_timer(instant now, job_map::iterator found);
+    void run_due_timers(instant now);
+    /// Answers a job whose caller no longer waits.
+    void answer_overdue(instant now, job_map::iterator found);
     void place_or_refuse_late_job(instant now, job_map::iterator found);
     /// @return a worker's free resources, less the demand of placements in flight.
     static resource_amount available_resources(const connected_agent& agent);
@@ -269,6 +277,7 @@
     /// Whether resources may have been freed since the last dispatch.
     bool resources_freed_ = false;
     instant last_dispatch_at_;
+    bool placements_held_ = false;
     std::vector<dispatcher_effect> effects_;
     leased_dispatcher_counters counters_;
     service_levels levels_;
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -325,6 +325,8 @@
 
     void start_waiting_tasks(instant now);
     void send_start(instant now, hosted_task& task);
+    /// @return whether the start was sent
+    bool repeat_start(instant now, hosted_task& task);
     void send_stop(instant now, hosted_task& task);
     void raise_fence();
     void withdraw(instant now, task_map::iterator task, instant must_end_by);
--- a/include/tarragonlock/request/leased_job.hpp
+++ b/include/tarragonlock/request/leased_job.hpp
@@ -68,8 +68,10 @@
     /// Instructions for the tasks; opaque to the dispatcher.
     std::string spec;
     std::vector<job_step> steps;
-    /// Time from receipt for which the caller waits.
+    /// Time from the arrival of the request for which the caller waits.
     std::uint32_t deadline_ms = 0;
+    /// Time for which the request may have waited to be read, which counts against deadline_ms.
+    duration unread_for{};
 
     friend bool operator==(const leased_job_request&, const leased_job_request&) = default;
 };
--- a/src/connection/loop_http_server.cpp
+++ b/src/connection/loop_http_server.cpp
@@ -8,6 +8,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <map>
 #include <optional>
 
@@ -34,6 +37,15 @@
 
 private:
     void on_read(error_code error);
+    /// What can be read from a connection without waiting.
+    enum class readable_input : std::uint8_t
+    {
+        none,
+        data,
+        end ///< the client has closed or reset the connection
+    };
+
+    readable_input peek();
     void watch_for_close();
     void close();
 
@@ -160,6 +172,7 @@
     if (!owner_.settings().deadline_header.empty())
         request.deadline_header = std::string(message[owner_.settings().deadline_header]);
     request.body = std::move(message.body());
+    request.client_disconnected = peek() == readable_input::end;
     response_ = {};
     response_.keep_alive(message.keep_alive());
     request_id_ = owner_.register_request(shared_from_this());
@@ -170,6 +183,16 @@
         watch_for_close();
 }
 
+session::readable_input session::peek()
+{
+    char next = 0;
+    const auto bytes = ::recv(socket_.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (bytes > 0)
+        return readable_input::data;
+    const bool would_block = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    return bytes < 0 && would_block ? readable_input::none : readable_input::end;
+}
+
 /// Detects that the client closes the connection before the response, so that the tasks of its job
 /// can be stopped.
 void session::watch_for_close()
@@ -179,14 +202,12 @@
                        {
                            if (!self->awaiting_response_ || self->request_id_ != id)
                                return;
-                           char next = 0;
-                           error_code peeked = error;
-                           std::size_t bytes = 0;
-                           if (!error)
-                               bytes = self->socket_.receive(
-                                   asio::buffer(&next, 1), asio::socket_base::message_peek, peeked);
-                           // The client has sent a further request and has not disconnected.
-                           if (!peeked && bytes > 0)
+                           const auto input = error ? readable_input::end : self->peek();
+                           if (input == readable_input::none)
+                               self->watch_for_close();
+                           // With more data, the client has sent a further request and has not
+                           // disconnected.
+                           if (input != readable_input::end)
                                return;
                            self->awaiting_response_ = false;
                            self->owner_.session_disconnected(id);
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -28,7 +28,8 @@
 /// Agents connect to a new entry within this time. Until then a job that no connected worker may
 /// run is not refused but waits, at most until its latest start.
 constexpr auto startup_grace_period = milliseconds(1000);
-/// Retry delay for jobs that no connected worker may run, and for jobs refused at shutdown.
+/// Retry delay for jobs that no connected worker may run, for jobs refused at shutdown, and for
+/// jobs that were read too late.
 constexpr auto no_worker_retry_delay = std::chrono::seconds(1);
 
 /// @return a number from 0 to 1 that is always the same for this entry and agent.
@@ -265,6 +266,14 @@
         caller_jobs_[caller] = request.id;
         return;
     }
+    const auto arrived = now - request.unread_for;
+    const auto deadline = arrived + milliseconds(request.deadline_ms) - answer_margin;
+    // The caller may have sent the job again, to another entry.
+    if (request.unread_for > duration(0) && now >= deadline)
+    {
+        refuse(caller, request, leased_reason::deadline_passed, no_worker_retry_delay);
+        return;
+    }
     if (!has_worker_for(now, request, rule) && now - started_ > startup_grace_period)
     {
         refuse(caller, request, leased_reason::no_worker, no_worker_retry_delay);
@@ -272,9 +281,9 @@
     }
     auto job = std::make_unique<active_job>();
     job->rule = rule;
-    job->accepted = now;
-    job->response_due = now + allowed_response_time(request, rule);
-    job->deadline = now + milliseconds(request.deadline_ms) - answer_margin;
+    job->accepted = arrived;
+    job->response_due = arrived + allowed_response_time(request, rule);
+    job->deadline = deadline;
     job->response_due = std::min(job->response_due, job->deadline);
     for (const auto& step : request.steps)
     {
@@ -290,6 +299,8 @@
     const auto added = jobs_.emplace(id, std::move(job)).first;
     enqueue(now, *added->second);
     dispatch(now);
+    if (const auto late = jobs_.find(id); late != jobs_.end())
+        place_or_refuse_late_job(now, late);
 }
 
 void leased_dispatcher::refuse(caller_id caller, const leased_job_request& request,
@@ -416,8 +427,10 @@
     std::vector<channel_id> silent;
     for (const auto& [channel, agent] : agents_)
     {
-        if (now - agent.last_message_at >
-            (agent.task_count > 0 ? agent_timeout : agent_timeout * idle_agent_timeout_factor))
+        // While placements are held, the agent's messages may be unread.
+        if (!placements_held_ &&
+            now - agent.last_message_at >
+                (agent.task_count > 0 ? agent_timeout : agent_timeout * idle_agent_timeout_factor))
             silent.push_back(channel);
     }
     for (const auto channel : silent)
@@ -425,6 +438,28 @@
         on_channel_lost(now, channel);
         effects_.emplace_back(close_channel{channel});
     }
+    run_due_timers(now);
+    dispatch(now);
+}
+
+void leased_dispatcher::resume_placements(instant now)
+{
+    if (!std::exchange(placements_held_, false))
+        return;
+    run_due_timers(now);
+    dispatch(now);
+    std::vector<std::string> waiting;
+    for (const auto& [rank, id] : waiting_)
+        waiting.push_back(id);
+    for (const auto& id : waiting)
+    {
+        if (const auto found = jobs_.find(id); found != jobs_.end())
+            place_or_refuse_late_job(now, found);
+    }
+}
+
+void leased_dispatcher::run_due_timers(instant now)
+{
     while (!timers_.empty() && timers_.begin()->first <= now)
     {
         const auto id = timers_.begin()->second;
@@ -434,7 +469,6 @@
             continue;
         on_timer(now, found);
     }
-    dispatch(now);
 }
 
 void leased_dispatcher::on_timer(instant now, job_map::iterator found)
@@ -453,23 +487,33 @@
     }
     if (now >= job.deadline)
     {
-        const bool started = job.may_have_started();
-        answer(now, found,
-               started ? leased_answer{leased_outcome::given_up, leased_reason::deadline_passed, 0}
-                       : leased_answer{leased_outcome::refused, leased_reason::overloaded, 1});
+        answer_overdue(now, found);
         return;
     }
     enqueue(now, job);
     place_or_refuse_late_job(now, found);
 }
 
+void leased_dispatcher::answer_overdue(instant now, job_map::iterator found)
+{
+    const bool started = found->second->may_have_started();
+    answer(now, found,
+           started ? leased_answer{leased_outcome::given_up, leased_reason::deadline_passed, 0}
+                   : leased_answer{leased_outcome::refused, leased_reason::overloaded, 1});
+}
+
 /// Places a job that can no longer end in time on any worker that has free resources, even a slow
 /// one. Refuses it if that places no task and none may have started before.
 void leased_dispatcher::place_or_refuse_late_job(instant now, job_map::iterator found)
 {
     auto& job = *found->second;
-    if (!job.rank || !job.rank->late || job.may_have_started())
+    if (placements_held_ || !job.rank || !job.rank->late || job.may_have_started())
         return;
+    if (now >= job.deadline)
+    {
+        answer_overdue(now, found);
+        return;
+    }
     // A late start on a worker that is too slow for the job is better than none.
     const auto all = forecasts();
     auto workers = all;
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -200,7 +200,7 @@
 
 void leased_dispatcher::dispatch(instant now)
 {
-    if (waiting_.empty())
+    if (waiting_.empty() || placements_held_)
         return;
     last_dispatch_at_ = now;
     const auto all = forecasts();
@@ -215,6 +215,9 @@
     for (const auto& id : order)
     {
         auto& job = *jobs_.find(id)->second;
+        // Its caller may have sent it again; the next tick answers it.
+        if (now >= job.deadline)
+            continue;
         const auto mode =
             std::exchange(first, false) ? start_mode::partial_allowed : start_mode::all_or_nothing;
         consecutive_unplaced_jobs = place_job(now, job, all, workers, utilization, mode)
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -21,6 +21,8 @@
 constexpr auto answer_flush_time = milliseconds(100);
 /// A stopping entry accepts only jobs that should end this long before final_answer_time().
 constexpr auto admission_margin = milliseconds(200);
+/// Time between ticks while jobs are in progress.
+constexpr auto busy_tick_interval = milliseconds(20);
 
 } // namespace
 
@@ -35,18 +37,24 @@
              [this](const store_event& event) { on_store_event(event); }),
       process_(loop, {[this](instant now) { on_tick(now); }, [this](instant now) { on_stop(now); },
                       [this] { reload_settings(settings_); }, [this] { return metrics(); },
-                      [this] { return !dispatcher_.idle(); }})
+                      [this] { return !dispatcher_.idle(); }, busy_tick_interval,
+                      [this](instant) { dispatcher_.hold_placements(); },
+                      [this](instant now)
+                      {
+                          dispatcher_.resume_placements(now);
+                          apply_effects();
+                      }})
 {
     channels_ = frame_channels::create(
         loop, {[this](channel_id channel)
                {
-                   dispatcher_.on_channel_open(process_clock::now(), channel);
+                   dispatcher_.on_channel_open(process_.now(), channel);
                    if (const auto version = configuration_.current().version; version > 0)
                        channels_->send(channel, configuration_notice{version});
                },
                [this](channel_id channel)
                {
-                   dispatcher_.on_channel_lost(process_clock::now(), channel);
+                   dispatcher_.on_channel_lost(process_.now(), channel);
                    configuration_.on_channel_lost(channel);
                    apply_effects();
                },
@@ -72,7 +80,7 @@
         [this](http_request_id id, const http_request& request) { on_request(id, request); },
         [this](http_request_id id)
         {
-            dispatcher_.on_caller_disconnected(process_clock::now(), id);
+            dispatcher_.on_caller_disconnected(process_.now(), id);
             apply_effects();
         });
     if (!callers)
@@ -143,7 +151,7 @@
         return;
     case caller_action::cancel_job:
     {
-        const bool known = dispatcher_.cancel(process_clock::now(), std::string(path_suffix));
+        const bool known = dispatcher_.cancel(process_.now(), std::string(path_suffix));
         caller_server_->respond(id, known ? protocol.job_cancelled() : protocol.job_unknown());
         apply_effects();
         return;
@@ -161,8 +169,16 @@
 void leased_entry_daemon::submit(http_request_id id, const http_request& request,
                                  const queue_rule& rule, std::string_view path_suffix)
 {
-    const auto now = process_clock::now();
+    const auto now = process_.now();
     const auto& protocol = *protocols_.callers;
+    if (request.client_disconnected)
+    {
+        // The caller may already have sent the job again, to another entry.
+        ++abandoned_requests_;
+        caller_server_->respond(
+            id, protocol.job_ended({leased_outcome::refused, leased_reason::cancelled, 0}));
+        return;
+    }
     auto job = protocol.decode_job(request, path_suffix);
     if (!job)
     {
@@ -182,6 +198,7 @@
             id, protocol.job_ended({leased_outcome::refused, leased_reason::shutting_down, 1}));
         return;
     }
+    job.value().unread_for = process_.input_age(now);
     dispatcher_.submit(now, id, std::move(job).value(), rule);
     apply_effects();
 }
@@ -231,7 +248,7 @@
 
 void leased_entry_daemon::on_frame(channel_id channel, const lease_frame& frame)
 {
-    const auto now = process_clock::now();
+    const auto now = process_.now();
     for (const auto& message : frame)
     {
         if (const auto* copy = std::get_if<configuration_copy>(&message))
@@ -314,6 +331,7 @@
            counter_text("tasks_stopped_total", counts.tasks_stopped) +
            counter_text("agents_lost_total", counts.agents_lost) +
            counter_text("malformed_requests_total", malformed_requests_) +
+           counter_text("abandoned_requests_total", abandoned_requests_) +
            counter_text("store_calls_total", store_.call_count()) +
            gauge_text("agents", dispatcher_.agent_count()) +
            gauge_text("caller_connections", caller_server_->connections()) +
--- a/src/process/leased_entry_daemon.hpp
+++ b/src/process/leased_entry_daemon.hpp
@@ -75,6 +75,8 @@
     bool stopping_ = false;
     instant stop_requested_at_;
     std::uint64_t malformed_requests_ = 0;
+    /// Submissions whose client had disconnected before they were read.
+    std::uint64_t abandoned_requests_ = 0;
 };
 
 } // namespace tarragonlock
--- a/src/process/loop_process.cpp
+++ b/src/process/loop_process.cpp
@@ -44,11 +44,38 @@
     log_event(log_level::info, "started");
     wait_for_signal();
     schedule_tick();
-    while (!guarded_call("event loop", [this] { loop_.run(); }))
+    while (!loop_.stopped())
+        guarded_call("event loop", [this] { run_one_event(); });
+    log_event(log_level::info, "stopped");
+}
+
+void loop_process::run_one_event()
+{
+    if (!stalls_.has_backlog())
+        loop_.run_one();
+    else if (loop_.poll_one() == 0)
     {
-        // The loop continues with the next event.
+        stalls_.on_input_read();
+        handlers_.on_caught_up(process_clock::now());
     }
-    log_event(log_level::info, "stopped");
+    now();
+}
+
+instant loop_process::now()
+{
+    const auto time = process_clock::now();
+    const bool had_backlog = stalls_.has_backlog();
+    if (stalls_.on_activity(time))
+    {
+        log_event(
+            log_level::warn, "stalled",
+            {{"ms", std::chrono::duration_cast<std::chrono::milliseconds>(stalls_.last_stall())
+                        .count()}});
+        handlers_.on_stall(time);
+    }
+    else if (had_backlog && !stalls_.has_backlog())
+        handlers_.on_caught_up(time);
+    return time;
 }
 
 void loop_process::schedule_tick()
@@ -59,7 +86,7 @@
         {
             if (error)
                 return;
-            guarded_call("tick", [this] { handlers_.on_tick(process_clock::now()); });
+            guarded_call("tick", [this] { handlers_.on_tick(now()); });
             schedule_tick();
         });
 }
@@ -79,7 +106,7 @@
             else if (!std::exchange(stopping_, true))
             {
                 log_event(log_level::info, "stop_requested");
-                guarded_call("stop", [this] { handlers_.on_stop(process_clock::now()); });
+                guarded_call("stop", [this] { handlers_.on_stop(now()); });
             }
             wait_for_signal();
         });
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -103,7 +103,7 @@
         task.priority = request.priority;
         task.start_by = now + milliseconds(request.start_within_ms);
         // The task may still be running here for another entry, and a second run would overlap it.
-        if (!accepting(now) || tasks_.contains(id))
+        if (!accepting(now) || tasks_.contains(id) || !entry_lease_valid(now, channel))
         {
             ++counters_.returned;
             effects_.emplace_back(
@@ -321,8 +321,11 @@
     return false;
 }
 
-/// After this process was suspended, its socket may still hold placements of an entry that has
-/// already declared this agent lost. They must not start before the entry has renewed its lease.
+/// @return whether the entry has renewed its lease recently enough that its tasks may start.
+///
+/// A placement may have lain unread in this process's socket, or unsent in an entry that did not
+/// run. Its entry may have given this agent up meanwhile, or its caller may have sent the job to
+/// another entry.
 bool task_host::entry_lease_valid(instant now, channel_id channel) const
 {
     if (!options_.mechanisms.check_entry_lease_at_start)
@@ -419,18 +422,17 @@
         // this agent used a higher fence because its clock was ahead of this one's.
         if (task->request_fence == fence_)
             raise_fence();
-        send_start(now, *task);
-        return;
+        if (repeat_start(now, *task))
+            return;
+        break;
     case start_reply::lease_expired:
-        send_start(now, *task);
-        return;
+        if (repeat_start(now, *task))
+            return;
+        break;
     case start_reply::superseded:
         // The worker has had a run of this task that this process has no record of.
-        if (++task->run.number < max_run_number)
-        {
-            send_start(now, *task);
+        if (++task->run.number < max_run_number && repeat_start(now, *task))
             return;
-        }
         break;
     case start_reply::unavailable:
         unavailable_until_ = now + unavailable_pause;
@@ -445,6 +447,15 @@
     finish(now, tasks_.find({run.job, run.step, run.index}), task_end_kind::not_started);
 }
 
+/// Sends a start that the worker refused again, unless its reply lay unread for too long.
+bool task_host::repeat_start(instant now, hosted_task& task)
+{
+    if (!entry_lease_valid(now, task.channel))
+        return false;
+    send_start(now, task);
+    return true;
+}
+
 void task_host::raise_fence()
 {
     fence_ += fence_step_;
--- a/tests/explore_leased.cpp
+++ b/tests/explore_leased.cpp
@@ -17,17 +17,20 @@
 
 Usage:
   explore_leased [--seeds N] [--first-seed S] [--without MECHANISM] [--until-found] [--trace]
-                 [--unseen-restarts] [--replaced-workers] [--domains N]
+                 [--unseen-restarts] [--replaced-workers] [--impatient-callers] [--domains N]
 
 Options:
   --seeds N            Schedules to run [default: 100].
   --first-seed S       Seed of the first [default: 1].
   --without MECHANISM  Switch one mechanism off: entry-lease, lease-cap, bar, unknown-runs, fence,
-                       withdrawal, lost-agent-wait, start-check, named-worker.
+                       withdrawal, lost-agent-wait, start-check, named-worker, unread-time,
+                       held-placements, stall-handling (the last two together).
   --until-found        Stop at the first violation.
   --unseen-restarts    Restart workers also while their agent is suspended or down.
   --replaced-workers   Replace workers by others, also while their agent is suspended or
                        down.
+  --impatient-callers  Callers leave after 1.5 s and send their job to another entry, and entries
+                       read the end of their connections late.
   --domains N          Failure domains of entries and agents [default: 1].
   --trace              Print the steps of each schedule.
 
@@ -52,6 +55,14 @@
     {"withdrawal", [](leased_fleet_options& o) { o.host.stop_withdrawn_runs = false; }},
     {"start-check", [](leased_fleet_options& o) { o.host.check_entry_lease_at_start = false; }},
     {"named-worker", [](leased_fleet_options& o) { o.host.send_worker_id = false; }},
+    {"unread-time", [](leased_fleet_options& o) { o.count_unread_time = false; }},
+    {"held-placements", [](leased_fleet_options& o) { o.hold_after_stall = false; }},
+    {"stall-handling",
+     [](leased_fleet_options& o)
+     {
+         o.count_unread_time = false;
+         o.hold_after_stall = false;
+     }},
     {"lost-agent-wait", [](leased_fleet_options& o) { o.wait_for_lost_agents = false; }}};
 
 } // namespace
@@ -70,6 +81,8 @@
             mechanisms.at(arguments["--without"].asString())(options);
         options.unseen_restarts = arguments["--unseen-restarts"].asBool();
         options.replaced_workers = arguments["--replaced-workers"].asBool();
+        if (arguments["--impatient-callers"].asBool())
+            options.caller_patience = std::chrono::milliseconds(1500);
         options.failure_domains = static_cast<std::size_t>(arguments["--domains"].asLong());
         if (arguments["--trace"].asBool())
             options.trace = [seed](const std::string& line)
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -77,12 +77,12 @@
     events_.emplace(now_ + after, std::move(action));
 }
 
-void leased_fleet::call_process(process& target, std::function<void()> action)
+void leased_fleet::call_process(process& target, std::function<void()> action, input_kind kind)
 {
     if (!target.alive)
         return;
     if (target.suspended_until > now_)
-        target.deferred_calls.push_back(std::move(action));
+        target.deferred_calls.emplace_back(kind, std::move(action));
     else
         action();
 }
@@ -228,14 +228,18 @@
         for (std::size_t agent = 0; agent < agents_.size(); ++agent)
         {
             auto& link = links_[{entry, agent}];
+            // The kernel accepts connections for a process that is suspended.
+            const bool accepts =
+                options_.caller_patience > duration(0) || entries_[entry].suspended_until <= now_;
             const bool reachable = entries_[entry].alive && agents_[agent].alive && link.to_entry &&
-                                   link.to_agent && entries_[entry].suspended_until <= now_ &&
+                                   link.to_agent && accepts &&
                                    agents_[agent].suspended_until <= now_;
             if (link.channel != 0 || !reachable || now_ - link.last_connect < milliseconds(300))
                 continue;
             link.last_connect = now_;
             link.channel = ++last_channel_;
-            entries_[entry].core->on_channel_open(now_, link.channel);
+            call_process(entries_[entry], [this, entry, channel = link.channel]
+                         { entries_[entry].core->on_channel_open(now_, channel); });
             agents_[agent].core->on_channel_open(now_, link.channel);
             apply_entry_effects(entry);
             apply_agent_effects(agent);
@@ -441,15 +445,24 @@
         resend(id, resend_delay);
         return;
     }
-    call_process(entry,
-                 [this, id, caller = job.caller, index = job.entry]
-                 {
-                     const auto& job = jobs_[id];
-                     if (job.caller != caller || !job.awaiting_answer)
-                         return;
-                     entries_[index].core->submit(now_, caller, job.request, job.rule);
-                     apply_entry_effects(index);
-                 });
+    call_process(
+        entry,
+        [this, id, caller = job.caller, index = job.entry, sent = now_]
+        {
+            const auto& job = jobs_[id];
+            const bool has_left = job.caller != caller || !job.awaiting_answer;
+            if (has_left && options_.caller_patience == duration(0))
+                return;
+            auto request = job.request;
+            if (options_.count_unread_time)
+                request.unread_for = now_ - sent;
+            entries_[index].core->submit(now_, caller, request, job.rule);
+            apply_entry_effects(index);
+        },
+        input_kind::request);
+    if (options_.caller_patience > duration(0))
+        schedule(options_.caller_patience,
+                 [this, id, caller = job.caller] { disconnect_caller(id, caller); });
     if (faults_enabled_ && options_.fault_interval.count() > 0 && chance(0.05))
         schedule(random_time(1, 800),
                  [this, id, caller = job.caller] { disconnect_caller(id, caller); });
@@ -465,19 +478,25 @@
     broken.awaiting_answer = false;
     broken.may_have_started = true;
     const auto index = broken.entry;
+    resend(id, resend_delay);
+    // At the deadline, the entry needs no end of the connection to know that the caller leaves.
+    const bool at_deadline = now_ - broken.submitted == options_.caller_patience;
+    if (at_deadline && chance(0.5))
+        return;
     schedule(milliseconds(3),
              [this, index, caller, incarnation = broken.entry_incarnation]
              {
                  if (entries_[index].incarnation != incarnation)
                      return;
-                 call_process(entries_[index],
-                              [this, index, caller]
-                              {
-                                  entries_[index].core->on_caller_disconnected(now_, caller);
-                                  apply_entry_effects(index);
-                              });
+                 call_process(
+                     entries_[index],
+                     [this, index, caller]
+                     {
+                         entries_[index].core->on_caller_disconnected(now_, caller);
+                         apply_entry_effects(index);
+                     },
+                     input_kind::disconnect);
              });
-    resend(id, resend_delay);
 }
 
 void leased_fleet::resend(const std::string& id, duration after)
@@ -579,12 +598,20 @@
     const auto error = options_.estimate_error;
     const auto percent = 100 - error + static_cast<std::uint32_t>(random_index(2 * error + 1));
     step.declared_ms = std::max(job.work_ms * percent / 100, 1U);
-    job.request = {id, "spec", {step}, 4000};
+    job.request = {id, "spec", {step}, deadline_ms()};
     offered_.push_back({queue.queue, now_, now_ + allowed_time(job),
                         milliseconds(job.work_ms * queue.tasks), job.counted});
     submit(id);
 }
 
+/// @return the time for which callers wait, as their requests say
+std::uint32_t leased_fleet::deadline_ms() const
+{
+    if (options_.caller_patience == duration(0))
+        return 4000;
+    return static_cast<std::uint32_t>(options_.caller_patience / milliseconds(1));
+}
+
 std::map<std::string, double> leased_fleet::bound() const
 {
     return max_in_time(offered_, [this](instant when) { return fleet_speed_at(when); });
@@ -650,6 +677,28 @@
         deliver(entry, agent, link.channel, body, false);
 }
 
+/// Handles the calls that arrived during a suspension, as after a stall of a real process.
+void leased_fleet::resume_process(process& suspended)
+{
+    const auto found = std::find_if(entries_.begin(), entries_.end(),
+                                    [&](const entry_process& each) { return &each == &suspended; });
+    const bool held = found != entries_.end() && found->alive && options_.hold_after_stall;
+    if (held)
+        found->core->hold_placements();
+    auto unread = std::exchange(suspended.deferred_calls, {});
+    // The worst order: agents can take tasks, and the ends of callers' connections come last.
+    if (options_.caller_patience > duration(0))
+        std::stable_sort(unread.begin(), unread.end(),
+                         [](const auto& one, const auto& other)
+                         { return one.first < other.first; });
+    for (auto& [kind, call] : unread)
+        call_process(suspended, std::move(call), kind);
+    if (!held)
+        return;
+    found->core->resume_placements(now_);
+    apply_entry_effects(static_cast<std::size_t>(found - entries_.begin()));
+}
+
 void leased_fleet::inject_fault()
 {
     ++result_.faults;
@@ -668,7 +717,9 @@
     {
         process& suspended = chance(0.5) ? static_cast<process&>(entries_[entry])
                                          : static_cast<process&>(agents_[agent]);
-        const auto length = random_time(100, 3000);
+        // Longer than impatient callers take to send their jobs again.
+        const bool impatient = options_.caller_patience > duration(0);
+        const auto length = random_time(100, impatient ? 5000 : 3000);
         const bool is_entry = &suspended == static_cast<process*>(&entries_[entry]);
         add_trace(std::string("suspend ") + (is_entry ? "entry-" : "worker-") +
                   std::to_string(is_entry ? entry : agent) + " for " +
@@ -677,10 +728,8 @@
         schedule(length,
                  [this, &suspended, incarnation = suspended.incarnation]
                  {
-                     if (suspended.incarnation != incarnation)
-                         return;
-                     for (auto& deferred : std::exchange(suspended.deferred_calls, {}))
-                         call_process(suspended, deferred);
+                     if (suspended.incarnation == incarnation)
+                         resume_process(suspended);
                  });
         break;
     }
@@ -834,7 +883,7 @@
             step.task_count = static_cast<std::uint32_t>(1 + random_index(8));
             step.demand = {1600, 64, 0};
             step.declared_ms = static_cast<std::uint32_t>(30 + random_index(600));
-            jobs_[id].request = {id, "spec", {step}, 4000};
+            jobs_[id].request = {id, "spec", {step}, deadline_ms()};
             jobs_[id].rule = rule_;
             submit(id);
         }
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -93,6 +93,14 @@
     duration start_timeout = std::chrono::milliseconds(250);
     task_host_mechanisms host;
     bool wait_for_lost_agents = true;
+    /// Time for which callers wait before they leave and send their job again, to any entry; 0 to
+    /// wait for the answer. The end of their connection is read after the request, or not at all.
+    duration caller_patience{};
+    /// Whether entries count the time for which a request lay unread against its deadline, and hold
+    /// placements after a stall until they have read everything. Tests disable these to show that
+    /// the guarantee against overlapping runs depends on them.
+    bool count_unread_time = true;
+    bool hold_after_stall = true;
     /// Whether workers also restart while their agent is suspended or down.
     bool unseen_restarts = false;
     /// Whether workers are replaced by others instead of restarted, also while their agent is
@@ -136,13 +144,21 @@
     std::map<std::string, double> bound() const;
 
 private:
+    /// Kinds of input of a process. Input of different kinds comes from different connections, and
+    /// may be read in another order than it arrived in after a suspension.
+    enum class input_kind : std::uint8_t
+    {
+        channel,
+        request,
+        disconnect
+    };
     struct process
     {
         bool alive = true;
         std::uint64_t incarnation = 1;
         instant suspended_until;
-        /// Calls that arrived while the process was suspended.
-        std::vector<std::function<void()>> deferred_calls;
+        /// Calls that arrived while the process was suspended, in order.
+        std::vector<std::pair<input_kind, std::function<void()>>> deferred_calls;
     };
     struct entry_process : process
     {
@@ -187,7 +203,8 @@
     void schedule(duration after, std::function<void()> action);
     /// Calls a process, after its suspension if it is suspended. Drops the call if the process is
     /// down or goes down before.
-    void call_process(process& target, std::function<void()> action);
+    void call_process(process& target, std::function<void()> action,
+                      input_kind kind = input_kind::channel);
     void start_entry(std::size_t index);
     void start_agent(std::size_t index);
     void apply_entry_effects(std::size_t index);
@@ -210,10 +227,12 @@
     void send_new_jobs();
     void send_job(const queue_traffic& queue);
     std::uint32_t random_work(const queue_traffic& queue);
+    std::uint32_t deadline_ms() const;
     static duration allowed_time(const caller_job& job);
     void count_answer(const caller_job& job, const leased_answer& reply);
     void on_response(caller_id caller, const leased_answer& reply);
     void disconnect_caller(const std::string& id, caller_id caller);
+    void resume_process(process& suspended);
     void resend(const std::string& id, duration after);
     void inject_fault();
     /// @param silent  whether the peers get no connection reset, as after a power loss
--- a/tests/process/leased_dispatcher_test.cpp
+++ b/tests/process/leased_dispatcher_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 using namespace tarragonlock;
 using std::chrono::milliseconds;
 
@@ -69,7 +71,7 @@
         step.task_count = tasks;
         step.demand = {1600, 64, 0};
         step.declared_ms = declared_ms;
-        entry.submit(now, caller, {id, "spec", {step}, 3000}, rule);
+        entry.submit(now, caller, {id, "spec", {step}, 3000, unread_for}, rule);
         collect_effects();
     }
 
@@ -108,6 +110,8 @@
     }
 
     instant now{std::chrono::hours(1)};
+    /// Time for which submitted jobs lay unread.
+    duration unread_for{};
     queue_rule rule;
     leased_dispatcher entry{now, {"entry-0", "fd-0"}};
     std::vector<std::pair<channel_id, place_tasks>> placed;
@@ -445,6 +449,98 @@
     BOOST_TEST(f.placed[1].second.step == 1U);
 }
 
+/// Guards against a start for a caller that stopped waiting while the request lay unread.
+BOOST_AUTO_TEST_CASE(a_job_that_is_read_after_its_deadline_is_refused)
+{
+    fixture f;
+    f.unread_for = milliseconds(3500);
+    f.submit("one", 1, 900);
+    BOOST_TEST(f.placed.empty());
+    BOOST_REQUIRE_EQUAL(f.answers.size(), 1U);
+    BOOST_TEST((f.answers[0].second.outcome == leased_outcome::refused));
+    BOOST_TEST((f.answers[0].second.reason == leased_reason::deadline_passed));
+    BOOST_TEST(f.answers[0].second.retry_after_ms > 0U);
+}
+
+/// Guards against work beyond the caller's deadline for a request that lay unread for a part of it.
+BOOST_AUTO_TEST_CASE(the_deadline_counts_from_the_arrival_of_a_request)
+{
+    fixture f(1);
+    f.unread_for = milliseconds(2000);
+    f.submit("one", 1, 500);
+    BOOST_TEST(f.placed_tasks() == 1U);
+    f.now += milliseconds(500);
+    f.report(1, {16'000, 65'536, 0}, 1000);
+    f.now += milliseconds(460);
+    f.entry.on_tick(f.now);
+    f.collect_effects();
+    BOOST_TEST(f.answers.empty());
+    f.now += milliseconds(20);
+    f.entry.on_tick(f.now);
+    f.collect_effects();
+    BOOST_REQUIRE_EQUAL(f.answers.size(), 1U);
+    BOOST_TEST((f.answers[0].second.outcome == leased_outcome::given_up));
+    BOOST_TEST(f.withdrawn.size() == 1U);
+}
+
+/// Guards against a start by an entry that reads an agent's report before the timer of a job's
+/// deadline has run.
+BOOST_AUTO_TEST_CASE(a_waiting_job_past_its_deadline_is_not_placed)
+{
+    fixture f(1);
+    f.report(1, no_resources, 1000, 0, full_queue_cpu);
+    f.rule.stretch = 10.0;
+    f.submit("one", 1, 900);
+    BOOST_TEST(f.placed.empty());
+    f.now += milliseconds(3500);
+    f.report(1, {16'000, 65'536, 0}, 1000);
+    BOOST_TEST(f.placed.empty());
+    f.entry.on_tick(f.now);
+    f.collect_effects();
+    BOOST_TEST(f.placed.empty());
+    BOOST_REQUIRE_EQUAL(f.answers.size(), 1U);
+    BOOST_TEST((f.answers[0].second.outcome == leased_outcome::refused));
+}
+
+/// Guards against a start by an entry that was frozen and reads an agent's report before the end of
+/// the caller's connection.
+BOOST_AUTO_TEST_CASE(held_placements_start_only_jobs_whose_callers_have_stayed)
+{
+    fixture f(1);
+    f.report(1, no_resources, 1000, 0, full_queue_cpu);
+    f.rule.stretch = 10.0;
+    f.submit("left", 1, 900, 1);
+    f.submit("stayed", 1, 900, 2);
+    f.now += milliseconds(2000);
+    f.entry.hold_placements();
+    f.report(1, {16'000, 65'536, 0}, 1000);
+    f.entry.on_tick(f.now);
+    f.submit("new", 1, 900, 3);
+    BOOST_TEST(f.placed.empty());
+    f.entry.on_caller_disconnected(f.now, 1);
+    f.entry.resume_placements(f.now);
+    f.collect_effects();
+    std::set<std::string> jobs;
+    for (const auto& [channel, request] : f.placed)
+        jobs.insert(request.job);
+    BOOST_TEST((jobs == std::set<std::string>{"new", "stayed"}));
+}
+
+/// Guards against giving up agents whose messages have arrived but are still unread.
+BOOST_AUTO_TEST_CASE(held_placements_keep_agents_with_unread_messages)
+{
+    fixture f(1);
+    f.submit("one", 1, 900);
+    f.now += milliseconds(700);
+    f.entry.hold_placements();
+    f.entry.on_tick(f.now);
+    BOOST_TEST(f.entry.agent_count() == 1U);
+    f.report(1, {16'000, 65'536, 0}, 1000, 1);
+    f.entry.resume_placements(f.now);
+    f.entry.on_tick(f.now);
+    BOOST_TEST(f.entry.agent_count() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(every_job_is_answered_when_the_process_ends)
 {
     fixture f(1);
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -293,17 +293,42 @@
     BOOST_TEST((f.now - last_heard < milliseconds(650)));
 }
 
-BOOST_AUTO_TEST_CASE(placement_waits_when_the_entry_lease_expired_during_a_suspension)
+/// Guards against a start of a placement that lay unread, here or at its entry, until its entry's
+/// lease was over: its caller may have sent the job to another entry by then.
+BOOST_AUTO_TEST_CASE(placement_that_is_read_after_its_entry_lease_expired_never_starts)
 {
     fixture f;
     f.now += std::chrono::seconds(3);
     f.place(entry_a, "one");
     BOOST_TEST(f.starts.empty());
+    BOOST_REQUIRE_EQUAL(f.ends.size(), 1U);
+    BOOST_TEST((f.ends[0].kind == task_end_kind::not_started));
     f.host->on_message(f.now, entry_a,
                        lease_renewal{static_cast<std::uint64_t>(f.now.time_since_epoch().count())});
     f.host->on_announcement(f.now, f.announcement(first_start_time_ms));
     f.collect_effects();
-    BOOST_TEST(f.starts.size() <= 1U);
+    BOOST_TEST(f.starts.empty());
+    f.place(entry_a, "two");
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
+/// Guards against a start that is repeated for an entry whose lease is over because the worker's
+/// answer to the first request lay unread.
+BOOST_AUTO_TEST_CASE(start_is_not_repeated_after_the_entry_lease_expired)
+{
+    for (const auto reply :
+         {start_reply::fenced, start_reply::lease_expired, start_reply::superseded})
+    {
+        fixture f;
+        f.place(entry_a, "one");
+        BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+        f.now += std::chrono::seconds(3);
+        f.host->on_start_reply(f.now, f.starts[0].run, reply, 8000);
+        f.collect_effects();
+        BOOST_TEST(f.starts.size() == 1U);
+        BOOST_REQUIRE_EQUAL(f.ends.size(), 1U);
+        BOOST_TEST((f.ends[0].kind == task_end_kind::not_started));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(listing_after_a_worker_restart_decides_which_runs_exist)
