version: watches of the store are held open for seconds, so that a lost one is opened again soon

Cause: a watch was held open for 25 s, and its call ended 2 s after that. One that the store never received looks like one without a change, so all entries kept the old configuration for 27 s. The same holds for an answer that is lost, for a connection that falls silent, and for the agents' watch of the list of entries.

Change: entries hold a watch for 1.5 s, agents for 4 s, its call ends 1 s later, and an unanswered watch is opened again at once, as the pause of 300 ms now counts from the start of the call. No other sign shows a lost watch in every case: other calls use other connections, and agents make none.

Ruled out: a short watch before each long one (it doesn't show a watch that is lost later) and renewals as a sign of life (another connection, entries only).

--- a/include/tarragonlock/version/loop_store_client.hpp
+++ b/include/tarragonlock/version/loop_store_client.hpp
@@ -16,8 +16,10 @@
     std::string prefix;
     /// Lease time of the process's own key, counted from the last renewal.
     duration lease_time = std::chrono::seconds(10);
-    /// Longest time for which the service holds one watch open without a change.
-    duration watch_wait = std::chrono::seconds(25);
+    /// Longest time for which the service holds one watch open without a change. A watch that the
+    /// service does not know, because it was silent when the watch was opened, or whose answer is
+    /// lost, looks like one without a change; this bounds the time until it is opened again.
+    duration watch_wait = std::chrono::milliseconds(1500);
     /// Delay before a failed call is retried.
     duration retry_interval = std::chrono::milliseconds(300);
     /// Time without an answer after which a read is hedged by another one. The service may have
@@ -73,6 +75,7 @@
     event_handler on_event_;
     watch_state watch_ = watch_state::needs_read;
     instant next_retry_;
+    instant watch_opened_;
     std::int64_t revision_ = 0;
     std::uint64_t read_round_ = 0;
     std::uint32_t reads_in_flight_ = 0;
--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -25,9 +25,19 @@
 /// Time between ticks while tasks run. Short, because a start request without an answer delays its
 /// job by its timeout and the time until the next tick.
 constexpr auto busy_tick_interval = milliseconds(5);
+/// Longest time for which a watch of the entries is held open; a lost one delays the connection to
+/// a new entry by as much.
+constexpr auto entry_watch_wait = std::chrono::seconds(4);
 /// Longest announcement; workers send less than a kilobyte.
 constexpr std::uint64_t max_announcement_bytes = 64U << 10U;
 
+loop_store_options agent_store_options()
+{
+    loop_store_options options{entry_key_prefix};
+    options.watch_wait = entry_watch_wait;
+    return options;
+}
+
 } // namespace
 
 leased_agent_daemon::leased_agent_daemon(boost::asio::io_context& loop,
@@ -37,7 +47,7 @@
       host_({settings.name, static_cast<std::uint64_t>(wall_clock_now().count()),
              milliseconds(settings.execution_lease_ms), milliseconds(settings.caller_resend_ms),
              milliseconds(settings.announcement_lifetime_ms)}),
-      store_(*protocols_.store, {entry_key_prefix},
+      store_(*protocols_.store, agent_store_options(),
              [this](const store_event& event) { on_store_event(event); }),
       process_(loop, {[this](instant now) { on_tick(now); }, [this](instant now) { on_stop(now); },
                       [this] { reload_settings(settings_); }, [this] { return metrics(); },
--- a/src/version/loop_store_client.cpp
+++ b/src/version/loop_store_client.cpp
@@ -103,6 +103,7 @@
 void loop_store_client::open_watch()
 {
     watch_ = watch_state::watching;
+    watch_opened_ = process_clock::now();
     kv_client_.watch(
         options_.prefix, revision_, options_.watch_wait,
         [this](result<store_change_batch> batch)
@@ -119,7 +120,8 @@
             }
             if (std::exchange(reachable_, false))
                 log_event(log_level::warn, "store_lost", {{"error", batch.error().message()}});
-            next_retry_ = process_clock::now() + options_.retry_interval;
+            // A watch without an answer has taken long enough; a refusal comes at once.
+            next_retry_ = watch_opened_ + options_.retry_interval;
             if (batch.error() == store_error::history_lost)
             {
                 watch_ = watch_state::needs_read;
--- /dev/null
+++ b/tests/process/silent_store_test.py
@@ -0,0 +1,85 @@
+#!/usr/bin/env python3
+"""Guards against watches that are never answered and keep old state in use (CONFIG).
+
+A store that is silent for a while drops the calls that it receives meanwhile. A watch among them
+has to be opened again soon after the store is back, not at the end of its long wait.
+"""
+import json
+import socket
+import sys
+import tempfile
+import time
+
+from leased_fleet_test import (ENTRY_PREFIX, HOSTS, PEER_PORT, ROUTES, Fleet, call, eventually, expect,
+                               job_request)
+
+SILENCE_S = 3.0
+# Shortest contact and configuration times of the deployments together.
+IN_FORCE_S = 5.0
+
+
+def check_configuration(fleet):
+    fleet.store.silent = True
+    fleet.store.drop_watches()
+    time.sleep(SILENCE_S)
+    fleet.store.silent = False
+    regained = time.monotonic()
+    changed = json.loads(json.dumps(ROUTES))
+    changed["routes"][0]["prefix"] = "/titles/"
+    fleet.publish_configuration(changed)
+    eventually(lambda: all(call(fleet.entry_address(i), "GET", "/titles/", timeout=1)[0] == 200
+                           for i in range(2)),
+               "a configuration stored after a silent outage is in force at every entry")
+    took_s = time.monotonic() - regained
+    expect(took_s <= IN_FORCE_S, f"it is in force within {IN_FORCE_S} s: {took_s:.1f} s")
+
+
+def check_lost_watch(fleet):
+    """The store serves all calls, but has lost the open watches, or their answers are lost."""
+    fleet.store.drop_watches()
+    lost = time.monotonic()
+    fleet.publish_configuration(ROUTES)
+    eventually(lambda: all(call(fleet.entry_address(i), "GET", "/lots/", timeout=1)[0] == 200
+                           for i in range(2)),
+               "a configuration stored after watches were lost is in force at every entry")
+    took_s = time.monotonic() - lost
+    expect(took_s <= IN_FORCE_S, f"it is in force within {IN_FORCE_S} s: {took_s:.1f} s")
+
+
+def check_list(fleet):
+    fleet.store.silent = True
+    fleet.store.drop_watches()
+    time.sleep(SILENCE_S)
+    fleet.store.silent = False
+    regained = time.monotonic()
+    # An address in the list that the agents do not have from their settings.
+    with socket.create_server(("127.0.0.4", PEER_PORT)) as listener:
+        fleet.store.put(ENTRY_PREFIX + "third", f"127.0.0.4:{PEER_PORT}".encode())
+        listener.settimeout(40)
+        listener.accept()[0].close()
+        listener.accept()[0].close()
+        took_s = time.monotonic() - regained
+        fleet.store.delete(ENTRY_PREFIX + "third")
+    expect(took_s <= 2 * IN_FORCE_S, f"agents dial a new entry within {2 * IN_FORCE_S} s: {took_s:.1f} s")
+
+
+def main():
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(folder)
+        try:
+            for index in range(len(HOSTS)):
+                fleet.start("entry", index)
+                fleet.start("agent", index)
+            eventually(lambda: all(fleet.readiness_status(i) == 200 for i in range(2)),
+                       "both entries are ready")
+            eventually(lambda: call(fleet.entry_address(0), "POST", *job_request(1))[0] == 200,
+                       "the fleet serves jobs")
+            check_configuration(fleet)
+            check_lost_watch(fleet)
+            check_list(fleet)
+        finally:
+            fleet.stop()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/standins/platform_standins.py
+++ b/tests/standins/platform_standins.py
@@ -1,7 +1,7 @@
 """Stand-ins for the platform's store and for a worker with the HTTP calls that its agent makes.
 
 They implement the platform's HTTP interface on loopback and keep all state in memory. Tests inject
-faults: the store can answer every call with 503; the worker can lose answers, delay starts or
+faults: the store can answer every call with 503, or none; the worker can lose answers, delay starts or
 stall its runs.
 """
 import base64
@@ -62,6 +62,15 @@
         self.leases = {}
         self.calls = 0
         self.down = False
+        # While set, calls get no answer, neither now nor later.
+        self.silent = False
+        self.watch_round = 0
+
+    def drop_watches(self):
+        """Makes the store forget the watches that are open; they get no answer."""
+        with self.changed:
+            self.watch_round += 1
+            self.changed.notify_all()
 
     def put(self, key, value, lease=0):
         with self.changed:
@@ -87,9 +96,18 @@
 
 
 class StoreHandler(JsonRequestHandler):
+    def stay_silent(self):
+        """Waits without an answer until the client closes the connection."""
+        self.close_connection = True
+        self.connection.settimeout(None)
+        self.connection.recv(1)
+
     def check_available(self):
         """Counts a call and answers it with 503 if the store is down. Returns whether it is up."""
         self.server.calls += 1
+        if self.server.silent:
+            self.stay_silent()
+            return False
         if not self.server.down:
             return True
         self.send_json(503)
@@ -109,7 +127,8 @@
                 return
             after, prefix = int(query["after"]), query["prefix"]
             deadline = time.monotonic() + int(query["wait_ms"]) / 1000
-            while True:
+            watch_round = store.watch_round
+            while watch_round == store.watch_round:
                 events = [e for e in store.events
                           if e["revision"] > after and e["key"].startswith(prefix)]
                 remaining_s = deadline - time.monotonic()
@@ -117,6 +136,9 @@
                     break
                 store.changed.wait(remaining_s)
             revision = store.revision
+        if watch_round != store.watch_round:
+            self.stay_silent()
+            return
         self.send_json(200, {"events": events, "current_rev": revision})
 
     def do_POST(self):
--- a/tests/version/loop_store_client_test.cpp
+++ b/tests/version/loop_store_client_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 using namespace tarragonlock;
 using std::chrono::milliseconds;
 
@@ -18,10 +20,12 @@
         pages_after.push_back(after_key);
         lists.push_back(std::move(on_page));
     }
-    void watch(const std::string&, std::int64_t after_revision, duration,
-               handler<store_change_batch>) override
+    void watch(const std::string&, std::int64_t after_revision, duration wait,
+               handler<store_change_batch> on_changes) override
     {
         watched_after = after_revision;
+        watch_wait = wait;
+        watches.push_back(std::move(on_changes));
     }
     void write(const std::string&, std::int64_t, const std::string&, std::int64_t,
                handler<swap_result>) override
@@ -36,6 +40,8 @@
     std::vector<handler<store_page>> lists;
     std::vector<std::string> pages_after;
     std::int64_t watched_after = -1;
+    duration watch_wait{};
+    std::vector<handler<store_change_batch>> watches;
 };
 
 struct fixture
@@ -130,4 +136,42 @@
     BOOST_TEST(f.kv_client.watched_after == 6);
 }
 
+/// Guards against a watch that the service never received, or whose answer is lost, and that keeps
+/// old state in use: a silent watch must end within the 3 s after which a process that has contact
+/// to the service again has to follow it, less a second for its call.
+BOOST_AUTO_TEST_CASE(a_watch_is_held_open_for_a_short_time)
+{
+    fixture f;
+    f.advance(milliseconds(100));
+    f.kv_client.lists.at(0)(fixture::page("old", 5));
+    BOOST_REQUIRE_EQUAL(f.kv_client.watches.size(), 1U);
+    BOOST_TEST((f.kv_client.watch_wait <= milliseconds(2000)));
+}
+
+/// Guards against a pause in addition to the time that an unanswered watch has taken.
+BOOST_AUTO_TEST_CASE(an_unanswered_watch_is_opened_again_at_once)
+{
+    fixture f;
+    f.now -= milliseconds(2500);
+    f.advance(milliseconds(100));
+    f.kv_client.lists.at(0)(fixture::page("old", 5));
+    std::this_thread::sleep_for(milliseconds(320));
+    f.kv_client.watches.at(0)(make_error_code(store_error::unreachable));
+    f.client.on_tick(process_clock::now());
+    BOOST_TEST(f.kv_client.watches.size() == 2U);
+}
+
+/// Guards against a call every tick while the service refuses watches.
+BOOST_AUTO_TEST_CASE(a_refused_watch_is_opened_again_after_a_pause)
+{
+    fixture f;
+    f.advance(milliseconds(100));
+    f.kv_client.lists.at(0)(fixture::page("old", 5));
+    f.kv_client.watches.at(0)(make_error_code(store_error::refused));
+    f.client.on_tick(process_clock::now());
+    BOOST_TEST(f.kv_client.watches.size() == 1U);
+    f.client.on_tick(process_clock::now() + milliseconds(400));
+    BOOST_TEST(f.kv_client.watches.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
