process: agents relay a new configuration to the entries that do not have it

Cause: an agent announced its version only when a channel opened, never when it received a newer one.

Change: half a second after it received a new version an agent announces it, once, to the entries that have not announced it themselves. The entry requests the document from one of them, as at its start.

--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -317,6 +317,8 @@
     void handle(instant now, channel_id channel, const configuration_request& request);
     void handle(instant now, channel_id channel, const configuration_copy& copy);
     void request_configuration(instant now);
+    /// Announces a new configuration to the entries that seem not to have it.
+    void notify_entries_of_configuration(instant now);
     template<class T>
     void handle(instant, channel_id, const T&)
     {
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -235,7 +235,7 @@
               {{"version", static_cast<std::int64_t>(decoded.value().version())},
                {"before", static_cast<std::int64_t>(routes_.version())}});
     routes_ = std::move(decoded).value();
-    configuration_.store_if_newer({routes_.version(), document});
+    configuration_.store_if_newer(process_.now(), {routes_.version(), document});
     for (const auto channel : dispatcher_.channels())
         channels_->send(channel, configuration_notice{routes_.version()});
 }
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -52,6 +52,7 @@
     effects_.emplace_back(to_entry{channel, description(now)});
     if (const auto version = configuration().version; version > 0)
         effects_.emplace_back(to_entry{channel, configuration_notice{version}});
+    configuration_.on_channel_open(channel);
     send_report(now, channel, entry);
 }
 
@@ -168,9 +169,9 @@
     entries_[channel].reduced_reports = preference.reduced;
 }
 
-void task_host::handle(instant, channel_id, const configuration_copy& copy)
+void task_host::handle(instant now, channel_id, const configuration_copy& copy)
 {
-    configuration_.store_if_newer(copy);
+    configuration_.store_if_newer(now, copy);
 }
 
 void task_host::handle(instant now, channel_id channel, const configuration_notice& notice)
@@ -190,6 +191,12 @@
         effects_.emplace_back(to_entry{*peer, configuration_request{}});
 }
 
+void task_host::notify_entries_of_configuration(instant now)
+{
+    for (const auto channel : configuration_.take_peers_to_notify(now))
+        effects_.emplace_back(to_entry{channel, configuration_notice{configuration().version}});
+}
+
 void task_host::withdraw(instant now, task_map::iterator task, instant must_end_by)
 {
     auto& hosted = task->second;
@@ -586,6 +593,7 @@
     renew_if_needed(now);
     start_waiting_tasks(now);
     request_configuration(now);
+    notify_entries_of_configuration(now);
     std::erase_if(last_run_numbers_, [now](const auto& item)
                   { return now - item.second.second > run_number_retention; });
     send_load_reports(now);
--- a/tests/process/configuration_relay_test.cpp
+++ b/tests/process/configuration_relay_test.cpp
@@ -24,7 +24,7 @@
         asked += relay.next_peer_to_ask(start_time) ? 1 : 0;
     }
     BOOST_TEST(asked == 1U);
-    relay.store_if_newer({7, "text"});
+    relay.store_if_newer(start_time, {7, "text"});
     BOOST_TEST(!relay.next_peer_to_ask(start_time + std::chrono::seconds(5)));
     BOOST_TEST(relay.current().version == 7U);
 }
@@ -52,12 +52,30 @@
 BOOST_AUTO_TEST_CASE(an_old_version_is_neither_asked_for_nor_stored)
 {
     configuration_relay relay;
-    relay.store_if_newer({7, "new"});
+    relay.store_if_newer(start_time, {7, "new"});
     relay.on_notice(1, 7);
     relay.on_notice(2, 6);
     BOOST_TEST(!relay.next_peer_to_ask(start_time));
-    relay.store_if_newer({6, "old"});
+    relay.store_if_newer(start_time, {6, "old"});
     BOOST_TEST(relay.current().document == "new");
 }
 
+/// Guards against an entry that the store doesn't answer and that stays on an old version though
+/// its agents have the new one.
+BOOST_AUTO_TEST_CASE(peers_without_the_new_version_are_notified_once)
+{
+    configuration_relay relay;
+    for (const channel_id channel : {1, 2, 3})
+        relay.on_channel_open(channel);
+    relay.on_notice(1, 7);
+    relay.store_if_newer(start_time, {7, "text"});
+    BOOST_TEST(relay.take_peers_to_notify(start_time + milliseconds(100)).empty());
+    relay.on_notice(3, 7);
+    const auto later = start_time + milliseconds(1000);
+    BOOST_TEST((relay.take_peers_to_notify(later) == std::vector<channel_id>{2}));
+    BOOST_TEST(relay.take_peers_to_notify(later).empty());
+    relay.store_if_newer(later, {9, "newer"});
+    BOOST_TEST(relay.take_peers_to_notify(later + milliseconds(1000)).size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/silent_store_test.py
+++ b/tests/process/silent_store_test.py
@@ -10,14 +10,30 @@
 import tempfile
 import time
 
-from leased_fleet_test import (ENTRY_PREFIX, HOSTS, PEER_PORT, ROUTES, Fleet, call, eventually, expect,
-                               job_request)
+from leased_fleet_test import (ENTRY_PREFIX, HOSTS, PEER_PORT, ROUTES, STORE_PORT, Fleet, call,
+                               eventually, expect, job_request)
+from platform_standins import StoreAddress
 
+SECOND_STORE_PORT = STORE_PORT + 5
 SILENCE_S = 3.0
 # Shortest contact and configuration times of the deployments together.
 IN_FORCE_S = 5.0
 
 
+class TwoAddressFleet(Fleet):
+    """A fleet whose second entry uses an address of the store that the others don't use."""
+
+    def __init__(self, folder):
+        super().__init__(folder)
+        self.second_address = StoreAddress(self.store, SECOND_STORE_PORT).start()
+
+    def settings(self, role, index):
+        lines = super().settings(role, index)
+        if (role, index) == ("entry", 1):
+            lines = [line.replace(str(STORE_PORT), str(SECOND_STORE_PORT)) for line in lines]
+        return lines
+
+
 def check_configuration(fleet):
     fleet.store.silent = True
     fleet.store.drop_watches()
@@ -46,6 +62,22 @@
     expect(took_s <= IN_FORCE_S, f"it is in force within {IN_FORCE_S} s: {took_s:.1f} s")
 
 
+def check_one_entry_without_store(fleet):
+    """The store answers one entry only; the other one receives the new version from the agents."""
+    fleet.second_address.silent = True
+    fleet.store.drop_watches()
+    changed = json.loads(json.dumps(ROUTES))
+    changed["routes"][0]["prefix"] = "/pallets/"
+    fleet.publish_configuration(changed)
+    published = time.monotonic()
+    eventually(lambda: all(call(fleet.entry_address(i), "GET", "/pallets/", timeout=1)[0] == 200
+                           for i in range(2)),
+               "a configuration is in force at an entry that the store doesn't answer")
+    took_s = time.monotonic() - published
+    expect(took_s <= IN_FORCE_S, f"it is in force there within {IN_FORCE_S} s: {took_s:.1f} s")
+    fleet.second_address.silent = False
+
+
 def check_list(fleet):
     fleet.store.silent = True
     fleet.store.drop_watches()
@@ -65,7 +97,7 @@
 
 def main():
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(folder)
+        fleet = TwoAddressFleet(folder)
         try:
             for index in range(len(HOSTS)):
                 fleet.start("entry", index)
@@ -76,6 +108,7 @@
                        "the fleet serves jobs")
             check_configuration(fleet)
             check_lost_watch(fleet)
+            check_one_entry_without_store(fleet)
             check_list(fleet)
         finally:
             fleet.stop()
--- a/tests/standins/platform_standins.py
+++ b/tests/standins/platform_standins.py
@@ -95,6 +95,19 @@
             self.delete(key)
 
 
+class StoreAddress(StandinServer):
+    """A further address of a store, which can be silent on its own."""
+
+    def __init__(self, store, port):
+        super().__init__(("127.0.0.1", port), StoreHandler)
+        self.store = store
+        self.silent = False
+        self.calls = 1_000_000  # Lease numbers contain it, and must differ from the store's own.
+
+    def __getattr__(self, name):
+        return getattr(self.__dict__["store"], name)
+
+
 class StoreHandler(JsonRequestHandler):
     def stay_silent(self):
         """Waits without an answer until the client closes the connection."""
