soak: link faults other than delays are injected again, and an error of the soak fails its seed

Since its variables were renamed, disturb_links used a name that no longer existed: each choice of hold, silence or reset ended its series of faults by an exception that nothing reported, so seeds passed with as few as two events. An exception in a series now counts as a violation.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -281,9 +281,9 @@
         self.log_event(f"{disturbance} {directions} at {proxy.server_address}")
         if disturbance == "delay":
             proxy.delay(self.rng.uniform(0.01, 0.3))
-        elif what == "hold":
+        elif disturbance == "hold":
             proxy.hold(directions)
-        elif what == "silence":
+        elif disturbance == "silence":
             proxy.silence(0.5, self.rng)
         else:
             proxy.reset(0.7, self.rng)
@@ -350,6 +350,8 @@
                 getattr(self, name)()
                 if not planned:
                     self.last_fault_at = time.monotonic()
+            except Exception as error:  # An error of the soak would end the series unnoticed.
+                self.report_violation(f"the fault {name} could not be injected: {error!r}")
             finally:
                 with fault_state["lock"]:
                     fault_state["running_faults"].discard(name)
