--- a/tests/process/frozen_entry_test.py
+++ b/tests/process/frozen_entry_test.py
@@ -7,11 +7,9 @@
 import json
 import signal
 import socket
-import sys
-import tempfile
 import time
 
-from leased_fleet_test import Fleet, call, eventually, expect, job_request
+from leased_fleet_test import eventually, expect, job_request, run_checks
 
 WAIT_MS = 800
 FREEZE_S = 1.6
@@ -91,22 +89,5 @@
     expect(not tasks, f"waiting jobs whose callers have left do not start: {tasks}")
 
 
-def main():
-    with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(folder)
-        try:
-            for index in range(2):
-                fleet.start("entry", index)
-                fleet.start("agent", index)
-            eventually(lambda: all(fleet.readiness_status(i) == 200 for i in range(2)),
-                       "both entries are ready")
-            eventually(lambda: call(fleet.entry_address(0), "POST", *job_request(1))[0] == 200,
-                       "the fleet serves jobs")
-            for check in (check_callers_that_left, check_callers_that_stay, check_waiting_jobs):
-                check(fleet)
-        finally:
-            fleet.stop()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    run_checks((check_callers_that_left, check_callers_that_stay, check_waiting_jobs))
--- a/tests/process/leased_fleet_test.py
+++ b/tests/process/leased_fleet_test.py
@@ -379,9 +379,10 @@
     expect(True, "every log line is JSON with an event")
 
 
-def main():
+def run_checks(checks, fleet_type=Fleet):
+    """Starts a fleet, runs the checks on it and ends it."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(folder)
+        fleet = fleet_type(folder)
         try:
             for index in range(2):
                 fleet.start("entry", index)
@@ -396,14 +397,13 @@
                        "the fleet serves jobs")
             for worker in fleet.workers:
                 worker.started_tasks.clear()
-            for check in (check_without_faults, check_flood, check_lost_answers,
-                          check_stalled_worker, check_entry_killed, check_agent_killed,
-                          check_configuration, check_odd_input, check_reload, check_status, check_graceful_stop,
-                          check_drain, check_logs):
+            for check in checks:
                 check(fleet)
         finally:
             fleet.stop()
 
 
 if __name__ == "__main__":
-    main()
+    run_checks((check_without_faults, check_flood, check_lost_answers, check_stalled_worker,
+                check_entry_killed, check_agent_killed, check_configuration, check_odd_input,
+                check_reload, check_status, check_graceful_stop, check_drain, check_logs))
--- a/tests/process/silent_store_test.py
+++ b/tests/process/silent_store_test.py
@@ -6,12 +6,10 @@
 """
 import json
 import socket
-import sys
-import tempfile
 import time
 
-from leased_fleet_test import (ENTRY_PREFIX, HOSTS, PEER_PORT, ROUTES, STORE_PORT, Fleet, call,
-                               eventually, expect, job_request)
+from leased_fleet_test import (ENTRY_PREFIX, PEER_PORT, ROUTES, STORE_PORT, Fleet, call, eventually,
+                               expect, run_checks)
 from platform_standins import StoreAddress
 
 SECOND_STORE_PORT = STORE_PORT + 5
@@ -34,12 +32,17 @@
         return lines
 
 
-def check_configuration(fleet):
+def silence_store(fleet):
+    """Makes the store silent for SILENCE_S and returns the time when it answers again."""
     fleet.store.silent = True
     fleet.store.drop_watches()
     time.sleep(SILENCE_S)
     fleet.store.silent = False
-    regained = time.monotonic()
+    return time.monotonic()
+
+
+def check_configuration(fleet):
+    regained = silence_store(fleet)
     changed = json.loads(json.dumps(ROUTES))
     changed["routes"][0]["prefix"] = "/titles/"
     fleet.publish_configuration(changed)
@@ -79,11 +82,7 @@
 
 
 def check_list(fleet):
-    fleet.store.silent = True
-    fleet.store.drop_watches()
-    time.sleep(SILENCE_S)
-    fleet.store.silent = False
-    regained = time.monotonic()
+    regained = silence_store(fleet)
     # An address in the list that the agents do not have from their settings.
     with socket.create_server(("127.0.0.4", PEER_PORT)) as listener:
         fleet.store.put(ENTRY_PREFIX + "third", f"127.0.0.4:{PEER_PORT}".encode())
@@ -95,24 +94,6 @@
     expect(took_s <= 2 * IN_FORCE_S, f"agents dial a new entry within {2 * IN_FORCE_S} s: {took_s:.1f} s")
 
 
-def main():
-    with tempfile.TemporaryDirectory() as folder:
-        fleet = TwoAddressFleet(folder)
-        try:
-            for index in range(len(HOSTS)):
-                fleet.start("entry", index)
-                fleet.start("agent", index)
-            eventually(lambda: all(fleet.readiness_status(i) == 200 for i in range(2)),
-                       "both entries are ready")
-            eventually(lambda: call(fleet.entry_address(0), "POST", *job_request(1))[0] == 200,
-                       "the fleet serves jobs")
-            check_configuration(fleet)
-            check_lost_watch(fleet)
-            check_one_entry_without_store(fleet)
-            check_list(fleet)
-        finally:
-            fleet.stop()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    run_checks((check_configuration, check_lost_watch, check_one_entry_without_store, check_list),
+               TwoAddressFleet)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -266,8 +266,9 @@
             self.log_event(f"stop {role}-{index}")
             if role == "entry":
                 self.stopping_entries[index] = time.monotonic()
-            if self.processes.signal_and_wait(role, index, signal.SIGTERM) != 0:
-                self.report_violation(f"{role}-{index} did not exit with status 0 after SIGTERM")
+            status = self.processes.signal_and_wait(role, index, signal.SIGTERM)
+            if status != 0:
+                self.report_violation(f"{role}-{index} did not exit with status 0 after SIGTERM: {status}")
             self.processes.start(role, index)
             time.sleep(self.rng.uniform(0.5, 1.5))
             if role == "entry":
