review: take the ports of the stand-ins from below outgoing connections

Cause: an outgoing connection could hold the port of a worker that is about to restart. Content: free_ports draws from 20,000 to 31,999.

--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import struct
@@ -35,14 +36,23 @@
 
 
 def free_ports(count):
-    """Returns ports that are free on all loopback addresses."""
-    sockets = []
-    for _ in range(count):
-        sockets.append(socket.socket())
-        sockets[-1].bind(("", 0))
-    ports = [s.getsockname()[1] for s in sockets]
+    """Returns ports that are free on all loopback addresses, below those that outgoing connections use."""
+    sockets, ports = [], []
+    for port in random.sample(range(20_000, 32_000), 12_000):
+        candidate = socket.socket()
+        try:
+            candidate.bind(("", port))
+        except OSError:
+            candidate.close()
+            continue
+        sockets.append(candidate)
+        ports.append(port)
+        if len(ports) == count:
+            break
     for each in sockets:
         each.close()
+    if len(ports) < count:
+        raise CannotRun("too few free ports")
     return ports
 
 
