process: an idle agent asks its worker for a listing until it gets one

Entries refused every job, from 1.3 s on as no_worker.

Cause: after three renewals without a listing an agent starts nothing on its worker, and only a listing ends that. The agent sent renewals only while it had runs, run ends to acknowledge or unknown runs. Before the first end of a run an idle agent has none of these, so it neither used its worker nor asked it again.

The agents log worker_silent and worker_not_accepting in the first second and never worker_accepting; the worker's record ends with a refused renewal 2.3 s before it is healthy again. Both new unit tests failed before.

New metrics renewals_total and renewals_failed_total: logs alone did not tell an agent that doesn't ask from one whose worker still refuses.

Ruled out: announcements as a sign that the worker answers (an unhealthy worker sends them too).

--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -198,6 +198,9 @@
     std::uint64_t stopped = 0;
     std::uint64_t stalled = 0;
     std::uint64_t unanswered_starts = 0;
+    std::uint64_t renewals = 0;
+    /// Renewals that brought no listing, because of a timeout, an error or a refusal.
+    std::uint64_t failed_renewals = 0;
     std::uint64_t expired_entry_leases = 0;
 };
 
@@ -337,6 +340,7 @@
     void return_unstarted_tasks(instant now, channel_id channel, const place_tasks& request);
     void resend_stops(instant now);
     void expire_entry_leases(instant now);
+    bool needs_listing(instant now) const;
     void renew_if_needed(instant now);
     void mark_runs_stopped(instant now);
     void reset_worker_state();
@@ -365,6 +369,8 @@
     void check_progress(instant now, hosted_task& task, std::uint32_t percent_done,
                         std::int64_t clock_ms);
     bool accepting(instant now) const;
+    /// @return whether the worker has announced itself within the announcement lifetime
+    bool announced_recently(instant now) const;
     worker_description description(instant now) const;
     bool has_active_runs() const;
     std::int64_t worker_clock(instant now) const;
--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -278,6 +278,8 @@
            counter_text("tasks_stopped_total", counts.stopped) +
            counter_text("tasks_stalled_total", counts.stalled) +
            counter_text("starts_unanswered_total", counts.unanswered_starts) +
+           counter_text("renewals_total", counts.renewals) +
+           counter_text("renewals_failed_total", counts.failed_renewals) +
            counter_text("entry_leases_over_total", counts.expired_entry_leases) +
            counter_text("malformed_announcements_total", malformed_announcements_) +
            counter_text("store_calls_total", store_.call_count()) +
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -280,8 +280,12 @@
 bool task_host::accepting(instant now) const
 {
     return worker_ && worker_->accepting && !draining_ &&
-           unanswered_renewals_ < max_unanswered_renewals &&
-           now - announced_at_ < options_.announcement_lifetime;
+           unanswered_renewals_ < max_unanswered_renewals && announced_recently(now);
+}
+
+bool task_host::announced_recently(instant now) const
+{
+    return now - announced_at_ < options_.announcement_lifetime;
 }
 
 void task_host::start_waiting_tasks(instant now)
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -161,6 +161,17 @@
                        });
 }
 
+/// @return whether the worker has to list its runs, or has run ends to remove from its list
+bool task_host::needs_listing(instant now) const
+{
+    if (!worker_reconciled_ || !unknown_runs_.empty() || has_active_runs() ||
+        last_end_received_ != last_end_acknowledged_)
+        return true;
+    // Only a listing shows that a worker which left renewals unanswered answers again. One that no
+    // longer announces itself has probably ended.
+    return unanswered_renewals_ > 0 && announced_recently(now);
+}
+
 void task_host::renew_if_needed(instant now)
 {
     const bool immediate = unanswered_renewals_ == 0 && needs_immediate_renewal();
@@ -173,10 +184,9 @@
     if (!worker_ || pending_renewals_.size() >= max_pending ||
         now - last_renewal_sent_at_ < min_interval)
         return;
-    const bool active = has_active_runs();
-    if (worker_reconciled_ && unknown_runs_.empty() && !active &&
-        last_end_received_ == last_end_acknowledged_)
+    if (!needs_listing(now))
         return;
+    const bool active = has_active_runs();
     const bool stopping =
         !unknown_runs_.empty() ||
         std::any_of(tasks_.begin(), tasks_.end(),
@@ -188,6 +198,7 @@
         wait = stopping_renewal_wait;
     else if (active && worker_reconciled_)
         wait = options_.execution_lease / renewal_wait_divisor;
+    ++counters_.renewals;
     last_renewal_sent_at_ = now;
     pending_renewals_[last_renewal_number_ + 1] = now;
     last_end_acknowledged_ = last_end_received_;
@@ -206,6 +217,7 @@
     pending_renewals_.erase(pending);
     if (!listing)
     {
+        ++counters_.failed_renewals;
         if (++unanswered_renewals_ == max_unanswered_renewals)
             log_event(log_level::warn, "worker_silent",
                       {{"worker", worker_ ? worker_->id : std::string()}});
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -83,6 +83,23 @@
         collect_effects();
     }
 
+    /// Places a task every 10 ms; the worker refuses its start as unhealthy, and all renewals.
+    void refuse_tasks(duration length)
+    {
+        const auto end = now + length;
+        for (int number = 0; now < end; ++number)
+        {
+            const auto sent_before = starts.size();
+            place(entry_a, "refused-" + std::to_string(number), 1, 0, 0);
+            for (const auto& renewal : std::exchange(renewals, {}))
+                host->on_listing(now, renewal.number, std::nullopt);
+            if (starts.size() > sent_before)
+                host->on_start_reply(now, starts.back().run, start_reply::unavailable, 0);
+            advance(milliseconds(10), {entry_a, entry_b});
+        }
+        ends.clear();
+    }
+
     void place(channel_id channel, const std::string& job, std::uint32_t tasks = 1,
                std::uint32_t priority = 0, std::uint32_t start_within_ms = 1000)
     {
@@ -581,6 +598,34 @@
     BOOST_TEST((f.last_report.condition == worker_condition::healthy));
 }
 
+// Guards against an agent that never uses its worker again after the worker has turned away the
+// agent's first requests for some seconds.
+BOOST_AUTO_TEST_CASE(idle_agent_asks_a_worker_again_that_refused_its_first_requests)
+{
+    fixture f;
+    f.refuse_tasks(milliseconds(3000));
+    const auto started_before = f.starts.size();
+    f.host->on_announcement(f.now, f.announcement(first_start_time_ms));
+    f.advance(milliseconds(100), {entry_a, entry_b});
+    BOOST_REQUIRE(!f.renewals.empty());
+    f.answer_renewals({});
+    f.place(entry_a, "next");
+    BOOST_TEST(f.starts.size() == started_before + 1);
+}
+
+// Guards against requests to a crashed worker for as long as no other one takes its place.
+BOOST_AUTO_TEST_CASE(idle_agent_asks_a_silent_worker_only_while_it_announces_itself)
+{
+    fixture f;
+    f.refuse_tasks(milliseconds(6000));
+    f.renewals.clear();
+    f.advance(milliseconds(500), {entry_a, entry_b});
+    BOOST_TEST(f.renewals.empty());
+    f.host->on_announcement(f.now, f.announcement(first_start_time_ms));
+    f.collect_effects();
+    BOOST_TEST(!f.renewals.empty());
+}
+
 BOOST_AUTO_TEST_CASE(load_report_rate_does_not_grow_with_the_number_of_entries)
 {
     constexpr int simulated_seconds = 2;
