process: only a refusal of the present fence raises it, and it can't overflow

An agent never used its worker again.

Cause: an agent took every answer to a stop other than 200 for a refusal by a higher fence, also the 503 of an unhealthy worker. Stops are repeated every 40 ms and each refusal doubled the increment, also those of stops that had been sent with an earlier fence. After 64 of them the fence had wrapped around to a number below the worker's, which then refuses everything.

A listing resets the increment, and the fence stops at the largest signed number. The reply stop_reply::refused is now fenced, and unavailable is new; the test of refused stops keeps its check under the new name.

--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -83,7 +83,8 @@
 {
     accepted,
     no_answer,
-    refused
+    fenced,     ///< the worker has received a higher fence
+    unavailable ///< the worker is unhealthy and has not stopped the run
 };
 
 enum class run_end_kind : std::uint8_t
@@ -333,7 +334,7 @@
     /// @return whether the start was sent
     bool repeat_start(instant now, hosted_task& task);
     void send_stop(instant now, hosted_task& task);
-    void raise_fence();
+    void raise_fence(std::uint64_t refused);
     void withdraw(instant now, task_map::iterator task, instant must_end_by);
     task_map::iterator finish(instant now, task_map::iterator task, task_end_kind kind);
     void return_waiting_tasks(instant now);
@@ -402,7 +403,7 @@
     std::int64_t worker_clock_ms_ = 0;
     std::uint64_t fence_ = 0;
     /// Next increment of the fence. Doubles each time the worker reports a higher fence, so that a
-    /// sufficient fence is found in few steps without exceeding it by much.
+    /// sufficient fence is found in few steps without exceeding it by much. Reset by a listing.
     std::uint64_t fence_step_ = 1;
     std::uint64_t last_end_received_ = 0;
     std::uint64_t last_end_acknowledged_ = 0;
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace tarragonlock
 {
@@ -376,6 +377,7 @@
     task.confirmed = false;
     task.request_pending = true;
     task.request_sent_at = now;
+    task.request_fence = fence_;
     effects_.emplace_back(stop_request{task.run, fence_});
 }
 
@@ -431,8 +433,7 @@
     case start_reply::fenced:
         // Either the fence was raised while the request was in transit, or an earlier process of
         // this agent used a higher fence because its clock was ahead of this one's.
-        if (task->request_fence == fence_)
-            raise_fence();
+        raise_fence(task->request_fence);
         if (repeat_start(now, *task))
             return;
         break;
@@ -467,10 +468,17 @@
     return true;
 }
 
-void task_host::raise_fence()
+/// Raises the fence after the worker has refused a request.
+/// @param refused  fence of that request; an outdated one says nothing about the present fence
+void task_host::raise_fence(std::uint64_t refused)
 {
-    fence_ += fence_step_;
-    fence_step_ *= 2;
+    // Workers may read the fence as a signed number.
+    constexpr std::uint64_t max_fence = std::numeric_limits<std::int64_t>::max();
+    if (refused != fence_ || fence_ >= max_fence)
+        return;
+    const auto increase = std::min(fence_step_, max_fence - fence_);
+    fence_ += increase;
+    fence_step_ = increase * 2;
     log_event(log_level::warn, "fence_raised", {{"fence", static_cast<std::int64_t>(fence_)}});
 }
 
@@ -480,10 +488,10 @@
     if (task == nullptr || task->state != task_state::stopping)
         return;
     task->request_pending = false;
-    // A refusal means that the worker has received a higher fence. Below that fence no run can be
-    // stopped, and so no resources become free for new starts.
-    if (reply == stop_reply::refused)
-        raise_fence();
+    // Below the worker's fence no run can be stopped, and so no resources become free for new
+    // starts.
+    if (reply == stop_reply::fenced)
+        raise_fence(task->request_fence);
     if (reply == stop_reply::accepted)
     {
         task->confirmed = true;
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -235,6 +235,7 @@
         reset_worker_state();
     }
     unanswered_renewals_ = 0;
+    fence_step_ = 1;
     worker_clock_ms_ = listing->clock_ms;
     worker_clock_read_at_ = now;
     reconcile(now, number, *listing);
--- a/tests/fakes/virtual_worker.cpp
+++ b/tests/fakes/virtual_worker.cpp
@@ -118,7 +118,7 @@
 stop_reply virtual_worker::stop(instant now, const stop_request& request)
 {
     if (request.fence < highest_fence_)
-        return stop_reply::refused;
+        return stop_reply::fenced;
     highest_fence_ = request.fence;
     auto& superseded = superseded_up_to_[task_of(request.run)];
     superseded = std::max(superseded, request.run.number);
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -262,7 +262,7 @@
     BOOST_TEST((f.ends[0].kind == task_end_kind::stopped));
 }
 
-BOOST_AUTO_TEST_CASE(stop_is_resent_after_its_reply_with_a_higher_fence_when_refused)
+BOOST_AUTO_TEST_CASE(stop_is_resent_after_its_reply_with_a_higher_fence_when_fenced)
 {
     fixture f;
     f.place(entry_a, "one");
@@ -272,12 +272,61 @@
     BOOST_REQUIRE_EQUAL(f.stops.size(), 1U);
     f.advance(milliseconds(200), {entry_a, entry_b});
     BOOST_TEST(f.stops.size() == 1U);
-    f.host->on_stop_reply(f.now, f.stops[0].run, stop_reply::refused);
+    f.host->on_stop_reply(f.now, f.stops[0].run, stop_reply::fenced);
     f.advance(milliseconds(60), {entry_a, entry_b});
     BOOST_REQUIRE_EQUAL(f.stops.size(), 2U);
     BOOST_TEST(f.stops[1].fence > f.stops[0].fence);
 }
 
+// Guards against a fence that overflows, below which the worker refuses the agent for good.
+BOOST_AUTO_TEST_CASE(fence_does_not_overflow_while_a_worker_refuses_stops)
+{
+    fixture f;
+    f.place(entry_a, "one");
+    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::accepted, 5000);
+    f.host->on_message(f.now, entry_a, withdraw_job{"one"});
+    f.collect_effects();
+    constexpr std::size_t refusals = 80; // more than the fence has bits
+    while (f.stops.size() < refusals)
+    {
+        const auto sent_before = f.stops.size();
+        f.host->on_stop_reply(f.now, f.stops.back().run, stop_reply::fenced);
+        f.advance(milliseconds(60), {entry_a, entry_b});
+        BOOST_REQUIRE(f.stops.size() > sent_before);
+        BOOST_REQUIRE(f.stops.back().fence >= f.stops[sent_before - 1].fence);
+    }
+}
+
+// Guards against a fence that grows while an unhealthy worker turns stops away.
+BOOST_AUTO_TEST_CASE(stop_that_an_unhealthy_worker_refuses_is_resent_with_the_same_fence)
+{
+    fixture f;
+    f.place(entry_a, "one");
+    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::accepted, 5000);
+    f.host->on_message(f.now, entry_a, withdraw_job{"one"});
+    f.collect_effects();
+    f.host->on_stop_reply(f.now, f.stops[0].run, stop_reply::unavailable);
+    f.advance(milliseconds(60), {entry_a, entry_b});
+    BOOST_REQUIRE_EQUAL(f.stops.size(), 2U);
+    BOOST_TEST(f.stops[1].fence == f.stops[0].fence);
+}
+
+BOOST_AUTO_TEST_CASE(fence_is_raised_once_for_several_refusals_of_the_same_fence)
+{
+    fixture f;
+    f.place(entry_a, "one", 2);
+    for (const auto& start : f.starts)
+        f.host->on_start_reply(f.now, start.run, start_reply::accepted, 5000);
+    f.host->on_message(f.now, entry_a, withdraw_job{"one"});
+    f.collect_effects();
+    BOOST_REQUIRE_EQUAL(f.stops.size(), 2U);
+    f.host->on_stop_reply(f.now, f.stops[0].run, stop_reply::fenced);
+    f.host->on_stop_reply(f.now, f.stops[1].run, stop_reply::fenced);
+    f.advance(milliseconds(60), {entry_a, entry_b});
+    BOOST_REQUIRE_EQUAL(f.stops.size(), 4U);
+    BOOST_TEST(f.stops[3].fence == f.stops[0].fence + 1);
+}
+
 BOOST_AUTO_TEST_CASE(expired_entry_lease_stops_only_the_tasks_of_that_entry)
 {
     fixture f;
