process: an agent whose renewal is fenced raises its fence and asks again

Callers saw: no request was served from a restart of the agents on, though all workers were sound. The clocks of the hosts had been ahead at the agents' start before that one.

Cause: an agent's first fence is its time of day at the start. After the clock has been set back its worker has received a higher one and refuses everything. Refused starts and stops raise the fence, but the agent sends neither before its first listing, and a fenced renewal counted as one without an answer: it was repeated with the same fence for good.

After its second restart an agent logs worker_joined, 150 ms later worker_silent, and no worker_accepting. The new test of an agent with a lower fence fails without the raise.

Change: the worker's client reports a fenced renewal as such (renewal_reply), and the agent raises the fence and renews at once. Each refusal doubles the increment, so a step of 30 s takes 15 round trips. A fence that can't be raised further makes the refusal a missing answer, which paces the renewals. virtual_worker answered renewals with a lower fence; it refuses them now, as the workers do.

Ruled out: a fence from another source than the clock (hosts keep nothing, and the store would be needed for each start).

--- a/include/tarragonlock/process/leased_protocols.hpp
+++ b/include/tarragonlock/process/leased_protocols.hpp
@@ -70,12 +70,12 @@
     virtual ~worker_client() = default;
     using start_handler = std::function<void(start_reply, std::int64_t clock_ms)>;
     using stop_handler = std::function<void(stop_reply)>;
-    using listing_handler = std::function<void(const std::optional<run_listing>&)>;
+    using renewal_handler = std::function<void(const renewal_reply&)>;
 
     virtual void connect(const std::string& address) = 0;
     virtual void start(const start_request& request, start_handler on_reply) = 0;
     virtual void stop(const stop_request& request, stop_handler on_reply) = 0;
-    virtual void renew(const renewal_request& request, listing_handler on_listing) = 0;
+    virtual void renew(const renewal_request& request, renewal_handler on_reply) = 0;
     virtual void on_tick(instant now) = 0;
 };
 
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -124,6 +124,16 @@
     std::vector<run_end> ended;
 };
 
+/// Why a renewal request brought no listing.
+enum class renewal_failure : std::uint8_t
+{
+    no_answer, ///< none in time, or none that can be used
+    fenced     ///< the worker has received a higher fence
+};
+
+/// Result of a renewal request.
+using renewal_reply = std::variant<run_listing, renewal_failure>;
+
 /// Properties and state that a worker announces periodically.
 struct worker_announcement
 {
@@ -223,9 +233,8 @@
     void on_worker_left(instant now, const std::string& id);
     void on_start_reply(instant now, const run_key& run, start_reply reply, std::int64_t clock_ms);
     void on_stop_reply(instant now, const run_key& run, stop_reply reply);
-    /// @param number   number of the renewal request that is answered
-    /// @param listing  empty when no answer arrived in time
-    void on_listing(instant now, std::uint64_t number, const std::optional<run_listing>& listing);
+    /// @param number  number of the renewal request
+    void on_renewal_reply(instant now, std::uint64_t number, const renewal_reply& reply);
     void on_tick(instant now);
     /// Starts a graceful shutdown: waiting tasks are returned to their entries, runs may finish.
     void drain(instant now);
@@ -334,7 +343,7 @@
     /// @return whether the start was sent
     bool repeat_start(instant now, hosted_task& task);
     void send_stop(instant now, hosted_task& task);
-    void raise_fence(std::uint64_t refused);
+    bool raise_fence(std::uint64_t refused);
     void withdraw(instant now, task_map::iterator task, instant must_end_by);
     task_map::iterator finish(instant now, task_map::iterator task, task_end_kind kind);
     void return_waiting_tasks(instant now);
@@ -343,6 +352,7 @@
     void expire_entry_leases(instant now);
     bool needs_listing(instant now) const;
     void renew_if_needed(instant now);
+    void on_listing(instant now, std::uint64_t number, const run_listing& listing);
     void mark_runs_stopped(instant now);
     void reset_worker_state();
     void send_report(instant now, channel_id channel, entry_channel& entry);
@@ -409,8 +419,8 @@
     std::uint64_t last_end_acknowledged_ = 0;
     /// Worker's clock in the newest listing of this worker process.
     std::int64_t last_listing_clock_ms_ = 0;
-    /// Send times of the renewals without an answer so far, by number.
-    std::map<std::uint64_t, instant> pending_renewals_;
+    /// Fences of the renewals without an answer so far, by number.
+    std::map<std::uint64_t, std::uint64_t> pending_renewals_;
     std::uint64_t last_renewal_number_ = 0;
     instant last_renewal_sent_at_;
     /// Upper bound of the worker's lease expiry, on the agent's clock; no run goes on after it.
--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -219,13 +219,12 @@
 
 void leased_agent_daemon::execute(const renewal_request& request)
 {
-    protocols_.worker->renew(
-        request,
-        [this, number = request.number](const std::optional<run_listing>& listing)
-        {
-            host_.on_listing(process_clock::now(), number, listing);
-            execute_effects();
-        });
+    protocols_.worker->renew(request,
+                             [this, number = request.number](const renewal_reply& reply)
+                             {
+                                 host_.on_renewal_reply(process_clock::now(), number, reply);
+                                 execute_effects();
+                             });
 }
 
 void leased_agent_daemon::execute(const to_entry& message)
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -470,16 +470,18 @@
 
 /// Raises the fence after the worker has refused a request.
 /// @param refused  fence of that request; an outdated one says nothing about the present fence
-void task_host::raise_fence(std::uint64_t refused)
+/// @return whether the fence is higher now than that of the request
+bool task_host::raise_fence(std::uint64_t refused)
 {
     // Workers may read the fence as a signed number.
     constexpr std::uint64_t max_fence = std::numeric_limits<std::int64_t>::max();
     if (refused != fence_ || fence_ >= max_fence)
-        return;
+        return refused < fence_;
     const auto increase = std::min(fence_step_, max_fence - fence_);
     fence_ += increase;
     fence_step_ = increase * 2;
     log_event(log_level::warn, "fence_raised", {{"fence", static_cast<std::int64_t>(fence_)}});
+    return true;
 }
 
 void task_host::on_stop_reply(instant now, const run_key& run, stop_reply reply)
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -200,7 +200,7 @@
         wait = options_.execution_lease / renewal_wait_divisor;
     ++counters_.renewals;
     last_renewal_sent_at_ = now;
-    pending_renewals_[last_renewal_number_ + 1] = now;
+    pending_renewals_[last_renewal_number_ + 1] = fence_;
     last_end_acknowledged_ = last_end_received_;
     const auto wait_ms = std::chrono::duration_cast<milliseconds>(wait).count();
     effects_.emplace_back(renewal_request{++last_renewal_number_, active ? extend_lease(now) : 0,
@@ -208,37 +208,45 @@
                                           static_cast<std::uint32_t>(wait_ms)});
 }
 
-void task_host::on_listing(instant now, std::uint64_t number,
-                           const std::optional<run_listing>& listing)
+void task_host::on_renewal_reply(instant now, std::uint64_t number, const renewal_reply& reply)
 {
     const auto pending = pending_renewals_.find(number);
     if (pending == pending_renewals_.end())
         return;
+    const auto fence = pending->second;
     pending_renewals_.erase(pending);
-    if (!listing)
+    if (const auto* listing = std::get_if<run_listing>(&reply))
     {
-        ++counters_.failed_renewals;
-        if (++unanswered_renewals_ == max_unanswered_renewals)
-            log_event(log_level::warn, "worker_silent",
-                      {{"worker", worker_ ? worker_->id : std::string()}});
-        last_end_acknowledged_ = 0;
-        send_description_if_changed(now);
-        renew_if_needed(now);
+        on_listing(now, number, *listing);
         return;
     }
-    if (worker_ && listing->start_time_ms != 0 && worker_->start_time_ms != 0 &&
-        listing->start_time_ms != worker_->start_time_ms)
+    ++counters_.failed_renewals;
+    last_end_acknowledged_ = 0;
+    const bool fenced = std::get<renewal_failure>(reply) == renewal_failure::fenced;
+    if (fenced && raise_fence(fence))
+        last_renewal_sent_at_ = {};
+    else if (++unanswered_renewals_ == max_unanswered_renewals)
+        log_event(log_level::warn, "worker_silent",
+                  {{"worker", worker_ ? worker_->id : std::string()}});
+    send_description_if_changed(now);
+    renew_if_needed(now);
+}
+
+void task_host::on_listing(instant now, std::uint64_t number, const run_listing& listing)
+{
+    if (worker_ && listing.start_time_ms != 0 && worker_->start_time_ms != 0 &&
+        listing.start_time_ms != worker_->start_time_ms)
     {
-        log_event(log_level::info, "worker_restarted", {{"lifetime", listing->start_time_ms}});
-        worker_->start_time_ms = listing->start_time_ms;
+        log_event(log_level::info, "worker_restarted", {{"lifetime", listing.start_time_ms}});
+        worker_->start_time_ms = listing.start_time_ms;
         worker_->sequence = 0;
         reset_worker_state();
     }
     unanswered_renewals_ = 0;
     fence_step_ = 1;
-    worker_clock_ms_ = listing->clock_ms;
+    worker_clock_ms_ = listing.clock_ms;
     worker_clock_read_at_ = now;
-    reconcile(now, number, *listing);
+    reconcile(now, number, listing);
     send_description_if_changed(now);
     start_waiting_tasks(now);
     renew_if_needed(now);
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -285,9 +285,10 @@
             send_to_worker(index, *stop);
         else if (const auto* renewal = std::get_if<renewal_request>(&effect))
         {
-            agent.renewals.emplace_back(*renewal, now_ + milliseconds(renewal->wait_ms));
             // The worker extends its lease when the request arrives; it sends the listing later.
-            (void)agent.worker->listing(now_, *renewal);
+            const bool fenced = !agent.worker->renew(now_, *renewal);
+            agent.renewals.push_back(
+                {renewal->number, fenced ? now_ : now_ + milliseconds(renewal->wait_ms), fenced});
         }
         else
         {
@@ -395,31 +396,32 @@
     if (!agent.alive)
         return;
     const bool has_unacknowledged_ends = agent.worker->has_unacknowledged_ends();
-    std::vector<renewal_request> due;
+    std::vector<pending_renewal> due;
     std::erase_if(agent.renewals,
-                  [&](const auto& item)
+                  [&](const pending_renewal& item)
                   {
-                      if (now_ < item.second && !has_unacknowledged_ends)
+                      if (now_ < item.due && !has_unacknowledged_ends)
                           return false;
-                      due.push_back(item.first);
+                      due.push_back(item);
                       return true;
                   });
-    for (auto& renewal : due)
+    for (const auto& renewal : due)
     {
-        renewal.lease_end_ms = 0;
-        std::optional<run_listing> listing = agent.worker->listing(now_, renewal);
+        renewal_reply reply = renewal_failure::fenced;
+        if (!renewal.fenced)
+            reply = agent.worker->listing(now_);
         const bool lost = faults_enabled_ && options_.fault_interval.count() > 0 && chance(0.03);
         if (lost)
-            listing.reset();
+            reply = renewal_failure::no_answer;
         schedule(lost ? duration(request_timeout) : duration(0),
-                 [this, index, listing, number = renewal.number, incarnation = agent.incarnation]
+                 [this, index, reply, number = renewal.number, incarnation = agent.incarnation]
                  {
                      if (agents_[index].incarnation != incarnation)
                          return;
                      call_process(agents_[index],
-                                  [this, index, listing, number]
+                                  [this, index, reply, number]
                                   {
-                                      agents_[index].core->on_listing(now_, number, listing);
+                                      agents_[index].core->on_renewal_reply(now_, number, reply);
                                       apply_agent_effects(index);
                                   });
                  });
@@ -788,8 +790,9 @@
                      [this, agent, announcement = announcement_of(agent),
                       broken = std::exchange(agents_[agent].renewals, {})]
                      {
-                         for (const auto& [request, due] : broken)
-                             agents_[agent].core->on_listing(now_, request.number, std::nullopt);
+                         for (const auto& renewal : broken)
+                             agents_[agent].core->on_renewal_reply(now_, renewal.number,
+                                                                   renewal_failure::no_answer);
                          agents_[agent].core->on_announcement(now_, announcement);
                          apply_agent_effects(agent);
                      });
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -164,12 +164,18 @@
     {
         std::unique_ptr<leased_dispatcher> core;
     };
+    struct pending_renewal
+    {
+        std::uint64_t number = 0;
+        /// When the worker answers it at the latest.
+        instant due;
+        bool fenced = false;
+    };
     struct agent_process : process
     {
         std::unique_ptr<task_host> core;
         std::unique_ptr<virtual_worker> worker;
-        /// Pending renewals, each with the time at which the worker answers it at the latest.
-        std::vector<std::pair<renewal_request, instant>> renewals;
+        std::vector<pending_renewal> renewals;
     };
     struct pair_link
     {
--- a/tests/fakes/virtual_worker.cpp
+++ b/tests/fakes/virtual_worker.cpp
@@ -133,13 +133,20 @@
     return stop_reply::accepted;
 }
 
-run_listing virtual_worker::listing(instant now, const renewal_request& request)
+bool virtual_worker::renew(instant now, const renewal_request& request)
 {
-    highest_fence_ = std::max(highest_fence_, request.fence);
-    if (request.fence == highest_fence_ && request.lease_end_ms > 0)
+    if (request.fence < highest_fence_)
+        return false;
+    highest_fence_ = request.fence;
+    if (request.lease_end_ms > 0)
         extend_lease(now, request.lease_end_ms);
     std::erase_if(unacknowledged_ends_,
                   [&](const run_end& item) { return item.number <= request.acknowledged_end; });
+    return true;
+}
+
+run_listing virtual_worker::listing(instant now) const
+{
     run_listing result;
     result.clock_ms = clock(now);
     result.start_time_ms = start_time_ms_;
--- a/tests/fakes/virtual_worker.hpp
+++ b/tests/fakes/virtual_worker.hpp
@@ -58,7 +58,9 @@
     /// Stops the given run of a task and earlier ones, and refuses to start them from then on.
     stop_reply stop(instant now, const stop_request& request);
     /// Renews the lease and removes the acknowledged ends.
-    run_listing listing(instant now, const renewal_request& request);
+    /// @return whether the fence of the request is high enough; nothing is done otherwise
+    bool renew(instant now, const renewal_request& request);
+    run_listing listing(instant now) const;
     /// Suspends the progress of all runs until a time.
     void stall(instant until) { stalled_until_ = until; }
     /// Ends the runs that are due or whose lease has expired; to be called every millisecond.
--- a/tests/platform/worker_http_client_test.cpp
+++ b/tests/platform/worker_http_client_test.cpp
@@ -50,6 +50,15 @@
         return *received;
     }
 
+    renewal_reply renew()
+    {
+        std::optional<renewal_reply> received;
+        client->renew({1, 0, 7, 0, 0}, [&](const renewal_reply& reply) { received = reply; });
+        run_until([&] { return received.has_value(); });
+        BOOST_REQUIRE(received.has_value());
+        return *received;
+    }
+
     boost::asio::io_context loop;
     std::unique_ptr<loop_http_server> server;
     std::unique_ptr<worker_client> client;
@@ -68,4 +77,16 @@
     BOOST_TEST((fixture(503, "").stop() == stop_reply::unavailable));
 }
 
+// Guards against a fenced renewal that is taken for a missing answer and repeated with its fence.
+BOOST_AUTO_TEST_CASE(fenced_renewal_is_told_from_one_without_an_answer)
+{
+    const auto failure = [](unsigned status, const std::string& body)
+    { return std::get<renewal_failure>(fixture(status, body).renew()); };
+    BOOST_TEST((failure(409, R"({"clock_ms":1,"reason":"fence"})") == renewal_failure::fenced));
+    BOOST_TEST((failure(503, "") == renewal_failure::no_answer));
+    BOOST_TEST((failure(200, "[]") == renewal_failure::no_answer));
+    const auto listed = fixture(200, R"({"clock_ms":9,"running":[],"finished":[]})").renew();
+    BOOST_TEST(std::get<run_listing>(listed).clock_ms == 9);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -18,7 +18,15 @@
 /// An agent whose worker has the capacity for two tasks, with channels to two entries.
 struct fixture
 {
-    explicit fixture(task_host_mechanisms mechanisms = {})
+    explicit fixture(task_host_mechanisms mechanisms = {}) : mechanisms(mechanisms)
+    {
+        restart_agent();
+        answer_renewals({});
+        collect_effects();
+    }
+
+    /// Replaces the agent by a new process, which has received no listing yet.
+    void restart_agent()
     {
         task_host_options options;
         options.name = "worker-0";
@@ -26,7 +34,6 @@
         options.mechanisms = mechanisms;
         host = std::make_unique<task_host>(options);
         host->on_announcement(now, announcement(first_start_time_ms));
-        answer_renewals({});
         host->on_channel_open(now, entry_a);
         host->on_channel_open(now, entry_b);
         collect_effects();
@@ -78,7 +85,7 @@
             auto reply = listing;
             reply.clock_ms = std::max<std::int64_t>(reply.clock_ms, 5000);
             reply.start_time_ms = start_time_ms;
-            host->on_listing(now, renewal.number, reply);
+            host->on_renewal_reply(now, renewal.number, reply);
         }
         collect_effects();
     }
@@ -92,7 +99,7 @@
             const auto sent_before = starts.size();
             place(entry_a, "refused-" + std::to_string(number), 1, 0, 0);
             for (const auto& renewal : std::exchange(renewals, {}))
-                host->on_listing(now, renewal.number, std::nullopt);
+                host->on_renewal_reply(now, renewal.number, renewal_failure::no_answer);
             if (starts.size() > sent_before)
                 host->on_start_reply(now, starts.back().run, start_reply::unavailable, 0);
             advance(milliseconds(10), {entry_a, entry_b});
@@ -130,6 +137,7 @@
         collect_effects();
     }
 
+    task_host_mechanisms mechanisms;
     instant now{std::chrono::hours(1)};
     std::int64_t start_time_ms = first_start_time_ms;
     std::uint64_t sequence = 0;
@@ -327,6 +335,57 @@
     BOOST_TEST(f.stops[3].fence == f.stops[0].fence + 1);
 }
 
+// Guards against an agent that never uses its worker because an earlier process of the agent, whose
+// clock was ahead, left a higher fence there.
+BOOST_AUTO_TEST_CASE(agent_with_a_lower_fence_than_its_predecessor_raises_it)
+{
+    fixture f;
+    f.restart_agent();
+    const auto worker_fence = f.renewals.at(0).fence + 20'000;
+    std::size_t refused = 0;
+    for (bool listed = false; !listed && refused < 100;)
+    {
+        BOOST_REQUIRE(!f.renewals.empty());
+        for (const auto& renewal : std::exchange(f.renewals, {}))
+        {
+            listed = renewal.fence >= worker_fence;
+            refused += listed ? 0 : 1;
+            if (listed)
+                f.host->on_renewal_reply(f.now, renewal.number, run_listing{5000, 1000, {}, {}});
+            else
+                f.host->on_renewal_reply(f.now, renewal.number, renewal_failure::fenced);
+        }
+        f.collect_effects();
+    }
+    BOOST_TEST(refused < 20U);
+    f.place(entry_a, "one");
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+    BOOST_TEST(f.starts[0].fence >= worker_fence);
+}
+
+BOOST_AUTO_TEST_CASE(renewals_to_a_worker_that_refuses_every_fence_are_paced)
+{
+    constexpr std::size_t max_renewals_per_s = 50;
+    fixture f;
+    f.restart_agent();
+    const auto refuse_for = [&f](duration length)
+    {
+        std::size_t refused = 0;
+        for (const auto end = f.now + length; f.now < end; f.advance(milliseconds(10), {entry_a}))
+        {
+            for (const auto& renewal : std::exchange(f.renewals, {}))
+            {
+                ++refused;
+                f.host->on_renewal_reply(f.now, renewal.number, renewal_failure::fenced);
+            }
+            f.collect_effects();
+        }
+        return refused;
+    };
+    refuse_for(std::chrono::seconds(2)); // until the fence can't be raised any more
+    BOOST_TEST(refuse_for(std::chrono::seconds(1)) <= max_renewals_per_s);
+}
+
 BOOST_AUTO_TEST_CASE(expired_entry_lease_stops_only_the_tasks_of_that_entry)
 {
     fixture f;
@@ -452,8 +511,8 @@
     older.clock_ms = 5040;
     older.ended.clear();
     older.running.push_back({run, 90});
-    f.host->on_listing(f.now, f.renewals.at(1).number, newer);
-    f.host->on_listing(f.now, f.renewals.at(0).number, older);
+    f.host->on_renewal_reply(f.now, f.renewals.at(1).number, newer);
+    f.host->on_renewal_reply(f.now, f.renewals.at(0).number, older);
     f.collect_effects();
     BOOST_TEST(f.stops.empty());
     f.place(entry_a, "two");
