process: an earlier start time no longer locks a worker out

Agents ignored their own workers for good.

Cause: an announcement with an earlier start time than the newest one counts as a delayed one of an earlier process, without a limit in time. A worker that restarts after its host's clock has been set back is ignored in the same way, as its start time is earlier.

Change: such an announcement is ignored only while the known worker shows signs of life, that is an announcement, a listing or its departure within the announcement lifetime. Meanwhile the agent asks for a listing, which has the actual start time. When it is applied it counts as a restart: no start before a listing.

Ruled out: checking the worker's service (the operator may move workers between services), and its address in the settings (the same file serves other agents, and the clock's case has the right address).

--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -227,7 +227,8 @@
     void on_channel_open(instant now, channel_id channel);
     void on_channel_lost(instant now, channel_id channel);
     void on_message(instant now, channel_id channel, const lease_message& received);
-    /// @return whether the announcement was applied; older ones than the last are ignored
+    /// @return whether the announcement was applied; one older than the last is ignored, unless
+    ///         the worker of the last one shows no sign of life any more
     bool on_announcement(instant now, const worker_announcement& announcement);
     /// The worker with this id has shut down gracefully.
     void on_worker_left(instant now, const std::string& id);
@@ -350,6 +351,8 @@
     void return_unstarted_tasks(instant now, channel_id channel, const place_tasks& request);
     void resend_stops(instant now);
     void expire_entry_leases(instant now);
+    /// @return whether the announcement is older than the newest one, by its start time or number
+    bool is_outdated(const worker_announcement& announcement) const;
     bool needs_listing(instant now) const;
     void renew_if_needed(instant now);
     void on_listing(instant now, std::uint64_t number, const run_listing& listing);
@@ -408,6 +411,11 @@
     /// Whether the worker has reported its shutdown since its last announcement.
     bool worker_left_ = false;
     instant announced_at_;
+    /// Last applied announcement, listing or departure of the worker.
+    instant last_sign_of_life_;
+    /// When an announcement with an earlier start time than the known one was last rejected; reset
+    /// by a listing.
+    std::optional<instant> start_time_in_doubt_since_;
     /// Agent's clock at the time the worker's clock showed worker_clock_ms_.
     instant worker_clock_read_at_;
     std::int64_t worker_clock_ms_ = 0;
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -36,17 +36,34 @@
 
 } // namespace
 
-bool task_host::on_announcement(instant now, const worker_announcement& announcement)
+bool task_host::is_outdated(const worker_announcement& announcement) const
 {
-    if (worker_ && announcement.start_time_ms < worker_->start_time_ms)
+    if (!worker_)
         return false;
-    const bool same_incarnation = worker_ && worker_->id == announcement.id &&
-                                  worker_->start_time_ms == announcement.start_time_ms;
+    if (worker_->id != announcement.id || worker_->start_time_ms != announcement.start_time_ms)
+        return announcement.start_time_ms < worker_->start_time_ms;
     // A repeated announcement must not bring back a worker that has left since.
-    if (same_incarnation && (announcement.sequence < worker_->sequence ||
-                             (worker_left_ && announcement.sequence == worker_->sequence)))
+    return announcement.sequence < worker_->sequence ||
+           (worker_left_ && announcement.sequence == worker_->sequence);
+}
+
+bool task_host::on_announcement(instant now, const worker_announcement& announcement)
+{
+    const bool outdated = is_outdated(announcement);
+    // A delayed announcement is not applied while the known worker shows signs of life. An earlier
+    // start time may also be that of a new process, after the clock has been set back; the worker's
+    // next listing has its actual start time.
+    if (outdated && now - last_sign_of_life_ < options_.announcement_lifetime)
+    {
+        if (announcement.start_time_ms < worker_->start_time_ms)
+            start_time_in_doubt_since_ = now;
+        renew_if_needed(now);
         return false;
+    }
+    const bool same_incarnation = !outdated && worker_ && worker_->id == announcement.id &&
+                                  worker_->start_time_ms == announcement.start_time_ms;
     worker_left_ = false;
+    last_sign_of_life_ = now;
     if (!same_incarnation)
     {
         log_event(log_level::info, "worker_joined",
@@ -103,6 +120,7 @@
     worker_->accepting = false;
     worker_left_ = true;
     announced_at_ = instant{};
+    last_sign_of_life_ = now;
     return_waiting_tasks(now);
     send_description_if_changed(now);
 }
@@ -167,6 +185,9 @@
     if (!worker_reconciled_ || !unknown_runs_.empty() || has_active_runs() ||
         last_end_received_ != last_end_acknowledged_)
         return true;
+    if (start_time_in_doubt_since_ &&
+        now - *start_time_in_doubt_since_ < options_.announcement_lifetime)
+        return true;
     // Only a listing shows that a worker which left renewals unanswered answers again. One that no
     // longer announces itself has probably ended.
     return unanswered_renewals_ > 0 && announced_recently(now);
@@ -243,6 +264,8 @@
         reset_worker_state();
     }
     unanswered_renewals_ = 0;
+    last_sign_of_life_ = now;
+    start_time_in_doubt_since_.reset();
     fence_step_ = 1;
     worker_clock_ms_ = listing.clock_ms;
     worker_clock_read_at_ = now;
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -90,6 +90,17 @@
         collect_effects();
     }
 
+    /// Advances the clock; the worker answers no renewal.
+    void advance_unanswered(duration length)
+    {
+        for (const auto end = now + length; now < end;)
+        {
+            advance(milliseconds(10), {entry_a, entry_b});
+            for (const auto& renewal : std::exchange(renewals, {}))
+                host->on_renewal_reply(now, renewal.number, renewal_failure::no_answer);
+        }
+    }
+
     /// Places a task every 10 ms; the worker refuses its start as unhealthy, and all renewals.
     void refuse_tasks(duration length)
     {
@@ -98,11 +109,9 @@
         {
             const auto sent_before = starts.size();
             place(entry_a, "refused-" + std::to_string(number), 1, 0, 0);
-            for (const auto& renewal : std::exchange(renewals, {}))
-                host->on_renewal_reply(now, renewal.number, renewal_failure::no_answer);
             if (starts.size() > sent_before)
                 host->on_start_reply(now, starts.back().run, start_reply::unavailable, 0);
-            advance(milliseconds(10), {entry_a, entry_b});
+            advance_unanswered(milliseconds(10));
         }
         ends.clear();
     }
@@ -556,6 +565,55 @@
     BOOST_TEST(f.starts.size() == 1U);
 }
 
+// Guards against an agent that ignores a sound worker because its start time is earlier than that
+// of the process before it, as after a correction of the host's clock.
+BOOST_AUTO_TEST_CASE(worker_that_restarts_with_an_earlier_start_time_is_asked_and_used)
+{
+    fixture f;
+    f.renewals.clear();
+    BOOST_TEST(!f.host->on_announcement(f.now, f.announcement(first_start_time_ms - 500)));
+    f.collect_effects();
+    BOOST_REQUIRE(!f.renewals.empty());
+    f.start_time_ms = first_start_time_ms - 500;
+    f.answer_renewals({});
+    f.place(entry_a, "one");
+    BOOST_TEST(f.starts.size() == 1U);
+    BOOST_TEST(f.host->on_announcement(f.now, f.announcement(first_start_time_ms - 500)));
+}
+
+// Guards against an agent that ignores its worker for good after an announcement of another writer.
+BOOST_AUTO_TEST_CASE(worker_is_used_again_after_an_announcement_that_nothing_confirms)
+{
+    fixture f;
+    auto odd = f.announcement(first_start_time_ms + 5000);
+    odd.id = "i-odd";
+    BOOST_TEST(f.host->on_announcement(f.now, odd));
+    constexpr int announcements = 4;
+    bool used = false;
+    for (int i = 0; i < announcements && !used; ++i)
+    {
+        f.advance_unanswered(milliseconds(1500));
+        used = f.host->on_announcement(f.now, f.announcement(first_start_time_ms));
+    }
+    BOOST_TEST(used);
+    f.answer_renewals({});
+    f.place(entry_a, "one");
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
+// Guards against an agent that ignores a worker which starts again after a graceful shutdown.
+BOOST_AUTO_TEST_CASE(worker_that_left_is_used_when_it_restarts_with_an_earlier_start_time)
+{
+    fixture f;
+    f.host->on_worker_left(f.now, "i-1");
+    f.host->on_announcement(f.now, f.announcement(first_start_time_ms - 500));
+    f.start_time_ms = first_start_time_ms - 500;
+    f.answer_renewals({});
+    BOOST_TEST(f.host->on_announcement(f.now, f.announcement(first_start_time_ms - 500)));
+    f.place(entry_a, "one");
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(repeated_announcement_does_not_bring_back_a_worker_that_left)
 {
     fixture f;
