process: every entry receives the newest description of a worker

Callers see: an entry that connected to an agent right after the agent's stall refuses jobs that this worker could run, for as long as the channel lives. Entries use labels and capacity of a worker's earlier process.

Cause: a description was sent to a new channel, and to all channels when the worker's availability changed. After a stall of more than the announcement lifetime a new channel is told "not accepting"; the announcement that is read next makes the worker available, which is no change since the last description sent to all.

Evidence: found by reading, in the search for states in which a process neither uses a sound peer nor asks it again.

Change: descriptions are numbered, and each entry gets the newest one that it doesn't have, also when labels or capacity have changed. A new channel gets one report with it, as before.

--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -312,6 +312,8 @@
         instant load_report_sent_at;
         /// Value of load_version_ in the last report.
         std::uint64_t reported_load_version = 0;
+        /// Value of description_version_ when the last description was sent.
+        std::uint64_t reported_description_version = 0;
         /// Whether a task end is queued for the entry; a report in the same frame costs little.
         bool frame_pending = false;
         /// Whether the entry has asked for fewer reports of changed load.
@@ -439,8 +441,11 @@
     /// Consecutive renewals without an answer.
     std::uint32_t unanswered_renewals_ = 0;
     bool draining_ = false;
-    /// Value of worker_description::accepting in the last description sent to the entries.
-    bool reported_accepting_ = false;
+    /// Description that the entries have or are being sent.
+    worker_description reported_description_;
+    /// Increases with each change of reported_description_; 0 is the version of an entry that has
+    /// received none.
+    std::uint64_t description_version_ = 1;
     instant unavailable_until_;
     double mean_run_ms_ = 200.0;
     double mean_actual_ms_ = 0.0;
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -47,14 +47,12 @@
 
 void task_host::on_channel_open(instant now, channel_id channel)
 {
-    auto& entry = entries_[channel];
-    entry.lease_start = now;
+    entries_[channel].lease_start = now;
     effects_.emplace_back(to_entry{channel, agent_hello{options_.name, options_.incarnation}});
-    effects_.emplace_back(to_entry{channel, description(now)});
+    send_description_if_changed(now);
     if (const auto version = configuration().version; version > 0)
         effects_.emplace_back(to_entry{channel, configuration_notice{version}});
     configuration_.on_channel_open(channel);
-    send_report(now, channel, entry);
 }
 
 void task_host::on_channel_lost(instant now, channel_id channel)
@@ -702,19 +700,27 @@
     return described;
 }
 
+/// Sends the worker's description, and a report, to the entries that do not have it yet.
 void task_host::send_description_if_changed(instant now)
 {
-    const auto described = description(now);
-    if (described.accepting == reported_accepting_)
-        return;
-    reported_accepting_ = described.accepting;
-    log_event(log_level::info, described.accepting ? "worker_accepting" : "worker_not_accepting",
-              {{"worker", worker_ ? worker_->id : std::string()},
-               {"silent_renewals", unanswered_renewals_},
-               {"draining", draining_ ? 1 : 0}});
+    auto described = description(now);
+    if (described.accepting != reported_description_.accepting)
+        log_event(log_level::info,
+                  described.accepting ? "worker_accepting" : "worker_not_accepting",
+                  {{"worker", worker_ ? worker_->id : std::string()},
+                   {"silent_renewals", unanswered_renewals_},
+                   {"draining", draining_ ? 1 : 0}});
+    if (described != reported_description_)
+    {
+        reported_description_ = std::move(described);
+        ++description_version_;
+    }
     for (auto& [channel, entry] : entries_)
     {
-        effects_.emplace_back(to_entry{channel, described});
+        if (entry.reported_description_version == description_version_)
+            continue;
+        entry.reported_description_version = description_version_;
+        effects_.emplace_back(to_entry{channel, reported_description_});
         send_report(now, channel, entry);
     }
 }
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -67,6 +67,8 @@
             {
                 if (const auto* end = std::get_if<task_end>(&message->body))
                     ends.push_back(*end);
+                if (const auto* description = std::get_if<worker_description>(&message->body))
+                    descriptions[message->channel] = *description;
                 if (const auto* report = std::get_if<agent_report>(&message->body))
                 {
                     last_report = *report;
@@ -155,6 +157,8 @@
     std::vector<stop_request> stops;
     std::vector<renewal_request> renewals;
     std::map<channel_id, int> reports_by_channel;
+    /// Last description sent to each entry.
+    std::map<channel_id, worker_description> descriptions;
     std::vector<task_end> ends;
     agent_report last_report;
     std::size_t reports = 0;
@@ -629,6 +633,33 @@
     BOOST_TEST(f.starts.size() == 1U);
 }
 
+// Guards against an entry that never uses a worker because it connected at a moment when the agent,
+// after a stall, had not read the worker's announcements yet.
+BOOST_AUTO_TEST_CASE(entry_that_connects_after_a_stall_learns_that_the_worker_accepts_tasks)
+{
+    constexpr channel_id entry_c = 3;
+    fixture f;
+    f.now += std::chrono::seconds(5);
+    f.host->on_channel_open(f.now, entry_c);
+    f.host->on_announcement(f.now, f.announcement(first_start_time_ms));
+    f.collect_effects();
+    BOOST_TEST(f.descriptions[entry_a].accepting);
+    BOOST_TEST(f.descriptions[entry_c].accepting);
+}
+
+// Guards against entries that keep the labels and the capacity of a worker's earlier process.
+BOOST_AUTO_TEST_CASE(entries_learn_of_changed_labels_and_capacity)
+{
+    fixture f;
+    auto changed = f.announcement(first_start_time_ms);
+    changed.labels["b"] = "";
+    changed.capacity = {1600, 512, 0};
+    f.host->on_announcement(f.now, changed);
+    f.collect_effects();
+    BOOST_TEST(f.descriptions[entry_a].labels.contains("b"));
+    BOOST_TEST((f.descriptions[entry_b].capacity == changed.capacity));
+}
+
 BOOST_AUTO_TEST_CASE(delayed_announcements_are_not_applied)
 {
     fixture f;
