version: a process checks that its registration exists

Callers see: an entry that lives is no longer found. Agents that start later, or lose their channel to it, never connect to it, and it refuses jobs as no_worker while their workers are sound.

Cause: the key was written again only after a failed renewal or after the store had been lost. A late write of the entry's earlier process (a call without an answer may be executed seconds later) binds the key to that process's lease; when that expires the key goes, while the new process's renewals succeed. A service that takes keys away without a sign has the same effect.

Evidence: found by reading, in the search for states in which a process neither uses a sound peer nor asks it again; the new unit test failed before.

Change: the client of the store reads the process's key every 10 s and writes it again when it is missing or has another value.

Ruled out: a name of its own for each start's key (doesn't help against a service that takes keys), a renewal as a write (costs more than the read).

After: unit tests without errors.

--- a/include/tarragonlock/version/loop_store_client.hpp
+++ b/include/tarragonlock/version/loop_store_client.hpp
@@ -16,6 +16,10 @@
     std::string prefix;
     /// Lease time of the process's own key, counted from the last renewal.
     duration lease_time = std::chrono::seconds(10);
+    /// Interval at which the process checks that its key exists. Renewals do not show that: another
+    /// writer may have deleted the key, or a late write of an earlier process may have bound it to
+    /// a lease that has expired since.
+    duration registration_check_interval = std::chrono::seconds(10);
     /// Longest time for which the service holds one watch open without a change. A watch that the
     /// service does not know, because it was silent when the watch was opened, or whose answer is
     /// lost, looks like one without a change; this bounds the time until it is opened again.
@@ -69,6 +73,7 @@
     void mark_reachable();
     void renew_registration(instant now);
     void write_registration();
+    void check_registration(instant now);
 
     key_value_client& kv_client_;
     loop_store_options options_;
@@ -86,6 +91,8 @@
     bool registered_ = false;
     bool registration_pending_ = false;
     instant next_renewal_;
+    bool check_pending_ = false;
+    instant next_check_;
 };
 
 } // namespace tarragonlock
--- a/src/version/loop_store_client.cpp
+++ b/src/version/loop_store_client.cpp
@@ -2,6 +2,8 @@
 
 #include "tarragonlock/common/log.hpp"
 
+#include <algorithm>
+
 namespace tarragonlock
 {
 
@@ -32,6 +34,8 @@
         open_watch();
     if (registration_ && !registration_pending_ && now >= next_renewal_)
         renew_registration(now);
+    if (registration_ && registered_ && !check_pending_ && now >= next_check_)
+        check_registration(now);
 }
 
 void loop_store_client::mark_reachable()
@@ -204,6 +208,28 @@
                            });
 }
 
+void loop_store_client::check_registration(instant now)
+{
+    check_pending_ = true;
+    next_check_ = now + options_.registration_check_interval;
+    kv_client_.list(registration_->first, "",
+                    [this](result<store_page> page)
+                    {
+                        check_pending_ = false;
+                        if (!page || !registration_)
+                            return;
+                        const auto& [key, value] = *registration_;
+                        const auto& items = page.value().items;
+                        if (std::any_of(items.begin(), items.end(),
+                                        [&](const store_item& item)
+                                        { return item.key == key && item.value == value; }))
+                            return;
+                        log_event(log_level::warn, "registration_missing", {{"key", key}});
+                        registered_ = false;
+                        next_renewal_ = instant{};
+                    });
+}
+
 void loop_store_client::write_registration()
 {
     if (!registration_)
@@ -218,6 +244,7 @@
                      {
                          registration_pending_ = false;
                          registered_ = written.has_value();
+                         next_check_ = process_clock::now() + options_.registration_check_interval;
                          if (registered_)
                              return;
                          if (written.error() == store_error::lease_ended)
--- a/tests/version/loop_store_client_test.cpp
+++ b/tests/version/loop_store_client_test.cpp
@@ -14,9 +14,10 @@
 class deferred_client : public key_value_client
 {
 public:
-    void list(const std::string&, const std::string& after_key,
+    void list(const std::string& prefix, const std::string& after_key,
               handler<store_page> on_page) override
     {
+        prefixes.push_back(prefix);
         pages_after.push_back(after_key);
         lists.push_back(std::move(on_page));
     }
@@ -28,17 +29,21 @@
         watches.push_back(std::move(on_changes));
     }
     void write(const std::string&, std::int64_t, const std::string&, std::int64_t,
-               handler<swap_result>) override
+               handler<swap_result> on_written) override
     {
+        writes.push_back(std::move(on_written));
     }
-    void grant_lease(duration, handler<std::int64_t>) override {}
-    void renew_lease(std::int64_t, handler<bool>) override {}
+    void grant_lease(duration, handler<std::int64_t> on_granted) override { on_granted(lease); }
+    void renew_lease(std::int64_t, handler<bool> on_renewed) override { on_renewed(true); }
     void revoke_lease(std::int64_t) override {}
     void on_tick(instant) override {}
     std::uint64_t call_count() const override { return lists.size(); }
 
     std::vector<handler<store_page>> lists;
+    std::vector<std::string> prefixes;
     std::vector<std::string> pages_after;
+    std::vector<handler<swap_result>> writes;
+    static constexpr std::int64_t lease = 5;
     std::int64_t watched_after = -1;
     duration watch_wait{};
     std::vector<handler<store_change_batch>> watches;
@@ -69,6 +74,32 @@
 
 BOOST_AUTO_TEST_SUITE(loop_store_client_tests)
 
+/// Guards against a registration that is gone for good although its lease is renewed: a late write
+/// of an earlier process may have bound the key to that process's lease, or the service may have
+/// lost it.
+BOOST_AUTO_TEST_CASE(registration_whose_key_is_missing_is_written_again)
+{
+    fixture f;
+    f.client.keep_registered("entries/entry-0", "10.1.0.13:7720");
+    f.advance(milliseconds(100));
+    f.kv_client.lists.at(0)(fixture::page("configuration", 3));
+    f.kv_client.writes.at(0)(swap_result{});
+    // Renewals succeed all the while. The next list call is the check of the key.
+    f.advance(std::chrono::seconds(15));
+    BOOST_REQUIRE_EQUAL(f.kv_client.lists.size(), 2U);
+    BOOST_TEST(f.kv_client.prefixes.at(1) == "entries/entry-0");
+    f.kv_client.lists[1](store_page{{{"entries/entry-01", "10.1.0.14:7720", 4}}, false, 9, ""});
+    f.advance(milliseconds(100));
+    BOOST_REQUIRE_EQUAL(f.kv_client.writes.size(), 2U);
+    f.kv_client.writes[1](swap_result{});
+
+    f.advance(std::chrono::seconds(15));
+    BOOST_REQUIRE_EQUAL(f.kv_client.lists.size(), 3U);
+    f.kv_client.lists[2](store_page{{{"entries/entry-0", "10.1.0.13:7720", 10}}, false, 11, ""});
+    f.advance(std::chrono::seconds(2));
+    BOOST_TEST(f.kv_client.writes.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(an_unanswered_read_is_hedged)
 {
     fixture f;
