--- a/src/version/loop_store_client.cpp
+++ b/src/version/loop_store_client.cpp
@@ -212,22 +212,24 @@
 {
     check_pending_ = true;
     next_check_ = now + options_.registration_check_interval;
-    kv_client_.list(registration_->first, "",
-                    [this](result<store_page> page)
-                    {
-                        check_pending_ = false;
-                        if (!page || !registration_)
-                            return;
-                        const auto& [key, value] = *registration_;
-                        const auto& items = page.value().items;
-                        if (std::any_of(items.begin(), items.end(),
-                                        [&](const store_item& item)
-                                        { return item.key == key && item.value == value; }))
-                            return;
-                        log_event(log_level::warn, "registration_missing", {{"key", key}});
-                        registered_ = false;
-                        next_renewal_ = instant{};
-                    });
+    kv_client_.list(
+        registration_->first, "",
+        [this](result<store_page> page)
+        {
+            check_pending_ = false;
+            if (!page || !registration_)
+                return;
+            const auto& expected = *registration_;
+            const auto& items = page.value().items;
+            if (std::any_of(items.begin(), items.end(),
+                            [&expected](const store_item& item) {
+                                return item.key == expected.first && item.value == expected.second;
+                            }))
+                return;
+            log_event(log_level::warn, "registration_missing", {{"key", expected.first}});
+            registered_ = false;
+            next_renewal_ = instant{};
+        });
 }
 
 void loop_store_client::write_registration()
