--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -133,6 +133,16 @@
         collect_effects();
     }
 
+    /// Starts tasks of an entry, which withdraws their job once they run.
+    void run_and_withdraw(const std::string& job, std::uint32_t tasks = 1)
+    {
+        place(entry_a, job, tasks);
+        for (const auto& start : starts)
+            host->on_start_reply(now, start.run, start_reply::accepted, 5000);
+        host->on_message(now, entry_a, withdraw_job{job});
+        collect_effects();
+    }
+
     /// Advances the clock; the given entries echo the stamps of the agent's reports.
     void advance(duration length, const std::vector<channel_id>& responding)
     {
@@ -286,10 +296,7 @@
 BOOST_AUTO_TEST_CASE(stop_is_resent_after_its_reply_with_a_higher_fence_when_fenced)
 {
     fixture f;
-    f.place(entry_a, "one");
-    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::accepted, 5000);
-    f.host->on_message(f.now, entry_a, withdraw_job{"one"});
-    f.collect_effects();
+    f.run_and_withdraw("one");
     BOOST_REQUIRE_EQUAL(f.stops.size(), 1U);
     f.advance(milliseconds(200), {entry_a, entry_b});
     BOOST_TEST(f.stops.size() == 1U);
@@ -303,10 +310,7 @@
 BOOST_AUTO_TEST_CASE(fence_does_not_overflow_while_a_worker_refuses_stops)
 {
     fixture f;
-    f.place(entry_a, "one");
-    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::accepted, 5000);
-    f.host->on_message(f.now, entry_a, withdraw_job{"one"});
-    f.collect_effects();
+    f.run_and_withdraw("one");
     constexpr std::size_t refusals = 80; // more than the fence has bits
     while (f.stops.size() < refusals)
     {
@@ -322,10 +326,7 @@
 BOOST_AUTO_TEST_CASE(stop_that_an_unhealthy_worker_refuses_is_resent_with_the_same_fence)
 {
     fixture f;
-    f.place(entry_a, "one");
-    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::accepted, 5000);
-    f.host->on_message(f.now, entry_a, withdraw_job{"one"});
-    f.collect_effects();
+    f.run_and_withdraw("one");
     f.host->on_stop_reply(f.now, f.stops[0].run, stop_reply::unavailable);
     f.advance(milliseconds(60), {entry_a, entry_b});
     BOOST_REQUIRE_EQUAL(f.stops.size(), 2U);
@@ -335,11 +336,7 @@
 BOOST_AUTO_TEST_CASE(fence_is_raised_once_for_several_refusals_of_the_same_fence)
 {
     fixture f;
-    f.place(entry_a, "one", 2);
-    for (const auto& start : f.starts)
-        f.host->on_start_reply(f.now, start.run, start_reply::accepted, 5000);
-    f.host->on_message(f.now, entry_a, withdraw_job{"one"});
-    f.collect_effects();
+    f.run_and_withdraw("one", 2);
     BOOST_REQUIRE_EQUAL(f.stops.size(), 2U);
     f.host->on_stop_reply(f.now, f.stops[0].run, stop_reply::fenced);
     f.host->on_stop_reply(f.now, f.stops[1].run, stop_reply::fenced);
