--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -246,6 +246,7 @@
     last_end_acknowledged_ = 0;
     const bool fenced = options_.mechanisms.raise_fence_for_renewals &&
                         std::get<renewal_failure>(reply) == renewal_failure::fenced;
+    // A worker that refuses a fence is not silent; it answers as soon as the fence is high enough.
     if (fenced && raise_fence(fence))
         last_renewal_sent_at_ = {};
     else if (++unanswered_renewals_ == max_unanswered_renewals)
--- a/src/version/loop_store_client.cpp
+++ b/src/version/loop_store_client.cpp
@@ -217,6 +217,7 @@
         [this](result<store_page> page)
         {
             check_pending_ = false;
+            // A failed check is repeated after the interval; the watch logs that the store is lost.
             if (!page || !registration_)
                 return;
             const auto& expected = *registration_;
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -106,10 +106,10 @@
     /// Whether workers are replaced by others instead of restarted, also while their agent is
     /// suspended or down.
     bool replaced_workers = false;
-    /// Whether workers refuse all requests as unhealthy for some seconds, and the wall clocks of
-    /// hosts are set forward and back by some seconds. Agents derive their first fence from their
-    /// wall clock, workers their start time.
+    /// Whether workers refuse all requests as unhealthy for some seconds.
     bool unhealthy_workers = false;
+    /// Whether the wall clocks of hosts are set forward and back by some seconds. Agents derive
+    /// their first fence from their wall clock, workers their start time.
     bool clock_steps = false;
     /// Receives a line for each submission, start, stop, answer and fault.
     std::function<void(const std::string&)> trace;
@@ -174,6 +174,7 @@
         std::uint64_t number = 0;
         /// When the worker answers it at the latest.
         instant due;
+        /// Why the worker refuses it; empty when it sends a listing.
         std::optional<renewal_failure> failure;
     };
     struct agent_process : process
