entry, agent: no task starts in an evacuated failure domain

Operators evacuate a failure domain by a key of the store; nothing knew of it. Entries read it by the watch that they hold for the configuration, place nothing in such a domain and refuse at once what has no other worker. They inform the agents, which return what waits or still arrives there as not started, and which inform entries that start or are cut from the store. State is ordered by the store's revision. Frame version 5.

--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -159,9 +159,19 @@
     friend bool operator==(const configuration_copy&, const configuration_copy&) = default;
 };
 
-using lease_message = std::variant<agent_hello, worker_description, agent_report, lease_renewal,
-                                   place_tasks, withdraw_job, task_end, configuration_notice,
-                                   configuration_request, configuration_copy, report_preference>;
+/// The failure domains that the operators have evacuated, as of a revision of the key-value
+/// service. Sent by entries and agents to a peer that has other ones of an earlier revision.
+struct evacuated_domains
+{
+    std::int64_t revision = 0;
+    std::vector<std::string> failure_domains;
+    friend bool operator==(const evacuated_domains&, const evacuated_domains&) = default;
+};
+
+using lease_message =
+    std::variant<agent_hello, worker_description, agent_report, lease_renewal, place_tasks,
+                 withdraw_job, task_end, configuration_notice, configuration_request,
+                 configuration_copy, report_preference, evacuated_domains>;
 
 /// Messages that are sent together.
 using lease_frame = std::vector<lease_message>;
--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "tarragonlock/request/job_order.hpp"
 #include "tarragonlock/request/leased_job.hpp"
 #include "tarragonlock/request/worker_forecast.hpp"
+#include "tarragonlock/version/evacuation_state.hpp"
 #include "tarragonlock/version/route_table.hpp"
 
 #include <cstdint>
@@ -102,6 +103,9 @@
     static duration allowed_response_time(const leased_job_request& request,
                                           const queue_rule& rule);
     void on_tick(instant now);
+    /// Places no more tasks on workers of these failure domains, and refuses at once the waiting
+    /// jobs that no other worker may run.
+    void set_evacuated_domains(instant now, const evacuation_state& evacuations);
 
     bool has_job(const std::string& id) const { return jobs_.contains(id); }
     /// @return the number of jobs of a queue that have no answer yet.
@@ -204,12 +208,19 @@
         all_or_nothing
     };
 
+    /// Retry delay for jobs that no connected worker may run, for jobs refused at shutdown, and for
+    /// jobs that were read too late.
+    static constexpr duration no_worker_retry_delay = std::chrono::seconds(1);
+
     /// Indices of a step's tasks, by destination worker and maximum wait in its queue.
     using task_assignments = std::map<std::pair<channel_id, duration>, std::vector<std::uint32_t>>;
     using job_map = std::map<std::string, std::unique_ptr<active_job>, std::less<>>;
 
     void handle(instant now, channel_id channel, const agent_hello& hello);
     void handle(instant now, channel_id channel, const worker_description& description);
+    bool evacuated(const connected_agent& agent) const;
+    /// @return whether tasks may be placed on the agent's worker
+    bool usable(const connected_agent& agent) const;
     /// @return whether the agent's worker is outside the entry's failure domain
     bool is_remote(const connected_agent& agent) const;
     void handle(instant now, channel_id channel, const agent_report& report);
@@ -271,6 +282,7 @@
     leased_dispatcher_options options_;
     instant started_;
     std::map<channel_id, connected_agent> agents_;
+    evacuation_state evacuations_;
     job_map jobs_;
     std::map<caller_id, std::string> caller_jobs_;
     std::multimap<instant, std::string> timers_;
--- a/include/tarragonlock/process/leased_protocols.hpp
+++ b/include/tarragonlock/process/leased_protocols.hpp
@@ -84,9 +84,12 @@
 {
 public:
     virtual ~configuration_format() = default;
-    /// @return the prefix of the store keys that hold the configuration.
+    /// @return the prefix of the store keys that hold the configuration and the evacuated domains.
     virtual std::string key_prefix() const = 0;
     virtual bool is_configuration(std::string_view key) const = 0;
+    /// @return the failure domain that is evacuated while the key exists, or nothing for any other
+    ///         key.
+    virtual std::optional<std::string> evacuated_domain(std::string_view key) const = 0;
     /// @return the queues, or std::errc::invalid_argument
     virtual result<route_table> decode(const std::string& document) const = 0;
 };
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -3,6 +3,7 @@
 #include "tarragonlock/common/time.hpp"
 #include "tarragonlock/connection/lease_message.hpp"
 #include "tarragonlock/process/configuration_relay.hpp"
+#include "tarragonlock/process/evacuation_relay.hpp"
 #include "tarragonlock/process/service_levels.hpp"
 #include "tarragonlock/process/worker_health.hpp"
 #include "tarragonlock/request/leased_job.hpp"
@@ -184,6 +185,7 @@
     bool stop_stalled_runs = true;
     bool ask_silent_worker = true;
     bool raise_fence_for_renewals = true;
+    bool heed_evacuations = true;
 };
 
 /// Identity and time limits of the agent. The defaults match the stand-ins used by the tests.
@@ -209,6 +211,8 @@
     std::uint64_t done = 0;
     std::uint64_t failed = 0;
     std::uint64_t returned = 0;
+    /// Those of the returned tasks that found the worker's failure domain evacuated.
+    std::uint64_t returned_for_evacuation = 0;
     std::uint64_t stopped = 0;
     std::uint64_t stalled = 0;
     std::uint64_t unanswered_starts = 0;
@@ -255,6 +259,7 @@
     const service_levels& levels() const { return levels_; }
     /// @return the newest configuration received from an entry; version 0 when there is none.
     const configuration_copy& configuration() const { return configuration_.current(); }
+    const evacuation_state& evacuations() const { return evacuations_.current(); }
     const std::optional<worker_announcement>& worker() const { return worker_; }
     std::size_t waiting() const;
     std::size_t running() const { return tasks_.size() - waiting(); }
@@ -335,7 +340,12 @@
     void handle(instant now, channel_id channel, const configuration_notice& notice);
     void handle(instant now, channel_id channel, const configuration_request& request);
     void handle(instant now, channel_id channel, const configuration_copy& copy);
+    void handle(instant now, channel_id channel, const evacuated_domains& copy);
     void request_configuration(instant now);
+    /// Informs the entries that have older evacuated domains.
+    void inform_entries_of_evacuations(instant now);
+    /// @return whether no task may be started because of the worker's failure domain.
+    bool in_evacuated_domain() const;
     /// Announces a new configuration to the entries that seem not to have it.
     void notify_entries_of_configuration(instant now);
     template<class T>
@@ -456,6 +466,7 @@
     worker_health health_;
     service_levels levels_;
     configuration_relay configuration_;
+    evacuation_relay evacuations_;
     std::vector<host_effect> effects_;
     task_host_counters counters_;
 };
--- a/include/tarragonlock/version/store_client.hpp
+++ b/include/tarragonlock/version/store_client.hpp
@@ -39,6 +39,8 @@
 struct store_snapshot
 {
     std::vector<store_item> items;
+    /// Revision after which the changes follow; 0 when not reported.
+    std::int64_t revision = 0;
 };
 
 /// One key changed; no item means that it was deleted or that its lease expired.
@@ -46,6 +48,8 @@
 {
     std::string key;
     std::optional<store_item> item;
+    /// Revision of the change, also of a deletion; 0 when not reported.
+    std::int64_t revision = 0;
 };
 
 /// The watch ended; a new snapshot precedes the next changes.
--- a/programs/control/process_metrics.cpp
+++ b/programs/control/process_metrics.cpp
@@ -31,14 +31,16 @@
                                    metric_column{"FAILED", "jobs_failed_total"},
                                    metric_column{"REFUSED", "jobs_refused_total"},
                                    metric_column{"GIVEN-UP", "jobs_given_up_total"},
-                                   metric_column{"AGENTS", "agents"}};
+                                   metric_column{"AGENTS", "agents"},
+                                   metric_column{"EVACUATED", "evacuated_domains"}};
 
 constexpr std::array agent_columns{metric_column{"STARTED", "tasks_started_total"},
                                    metric_column{"DONE", "tasks_done_total"},
                                    metric_column{"FAILED", "tasks_failed_total"},
                                    metric_column{"STOPPED", "tasks_stopped_total"},
                                    metric_column{"WAITING", "tasks_waiting"},
-                                   metric_column{"RUNNING", "tasks_running"}};
+                                   metric_column{"RUNNING", "tasks_running"},
+                                   metric_column{"EVACUATED", "evacuated_domains"}};
 
 template<std::size_t Size>
 std::string format_table(const char* title, const std::array<metric_column, Size>& columns,
--- a/src/connection/lease_codec.cpp
+++ b/src/connection/lease_codec.cpp
@@ -1,6 +1,9 @@
 #include "tarragonlock/connection/lease_message.hpp"
 
 #include "connection/value_codec.hpp"
+#include "tarragonlock/version/evacuation_state.hpp"
+
+#include <algorithm>
 
 namespace tarragonlock
 {
@@ -9,7 +12,7 @@
 {
 
 /// Version of the layout of frames between entries and agents of leased jobs.
-constexpr std::uint8_t lease_frame_version = 4;
+constexpr std::uint8_t lease_frame_version = 5;
 /// Longest frame, in bytes; large enough for a configuration of a megabyte.
 constexpr std::size_t max_frame_bytes = 4U << 20U;
 
@@ -51,6 +54,19 @@
 
 #undef TARRAGONLOCK_FIELDS
 
+template<class Archive>
+void serialize(Archive& archive, evacuated_domains& v)
+{
+    archive(v.revision, v.failure_domains);
+    if (!Archive::is_loading::value)
+        return;
+    if (v.failure_domains.size() > max_evacuated_domains ||
+        std::any_of(v.failure_domains.begin(), v.failure_domains.end(),
+                    [](const std::string& name)
+                    { return name.empty() || name.size() > max_failure_domain_length; }))
+        throw value_out_of_range();
+}
+
 template<class Archive>
 void serialize(Archive&, configuration_request&)
 {
--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -274,6 +274,7 @@
            counter_text("tasks_done_total", counts.done) +
            counter_text("tasks_failed_total", counts.failed) +
            counter_text("tasks_returned_total", counts.returned) +
+           counter_text("tasks_returned_for_evacuation_total", counts.returned_for_evacuation) +
            counter_text("tasks_stopped_total", counts.stopped) +
            counter_text("tasks_stalled_total", counts.stalled) +
            counter_text("starts_unanswered_total", counts.unanswered_starts) +
@@ -284,6 +285,7 @@
            counter_text("store_calls_total", store_.call_count()) +
            gauge_text("tasks_waiting", host_.waiting()) +
            gauge_text("tasks_running", host_.running()) +
+           gauge_text("evacuated_domains", host_.evacuations().failure_domains().size()) +
            counter_text("log_lines_dropped_total", dropped_log_line_count()) +
            counter_text("unexpected_errors_total", unexpected_error_count()) +
            host_.levels().metrics();
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -24,9 +24,6 @@
 /// Agents connect to a new entry within this time. Until then a job that no connected worker may
 /// run is not refused but waits, at most until its latest start.
 constexpr auto startup_grace_period = milliseconds(1000);
-/// Retry delay for jobs that no connected worker may run, for jobs refused at shutdown, and for
-/// jobs that were read too late.
-constexpr auto no_worker_retry_delay = std::chrono::seconds(1);
 
 /// @return a number from 0 to 1 that is always the same for this entry and agent.
 double tie_break_penalty(const std::string& entry, const std::string& agent)
@@ -422,9 +419,8 @@
 
 std::size_t leased_dispatcher::accepting_worker_count() const
 {
-    return static_cast<std::size_t>(std::count_if(agents_.begin(), agents_.end(),
-                                                  [](const auto& item)
-                                                  { return item.second.worker.accepting; }));
+    return static_cast<std::size_t>(std::count_if(
+        agents_.begin(), agents_.end(), [this](const auto& item) { return usable(item.second); }));
 }
 
 std::vector<channel_id> leased_dispatcher::channels() const
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -56,8 +56,8 @@
 bool leased_dispatcher::has_worker_for(instant now, const leased_job_request& request,
                                        const queue_rule& rule) const
 {
-    const auto usable = [now](const connected_agent& agent)
-    { return agent.worker.accepting || now - agent.last_accepting_at < worker_return_time; };
+    const auto returns_soon = [now, this](const connected_agent& agent)
+    { return !evacuated(agent) && now - agent.last_accepting_at < worker_return_time; };
     return std::all_of(request.steps.begin(), request.steps.end(),
                        [&](const job_step& step)
                        {
@@ -66,7 +66,7 @@
                                [&](const auto& item)
                                {
                                    const auto& worker = item.second.worker;
-                                   return usable(item.second) &&
+                                   return (usable(item.second) || returns_soon(item.second)) &&
                                           rule.workers.matches(worker.labels) &&
                                           step.demand.fits_into(worker.capacity) &&
                                           (step.required_label.empty() ||
@@ -95,7 +95,7 @@
     found.reserve(agents_.size());
     for (const auto& [channel, agent] : agents_)
     {
-        if (!agent.worker.accepting)
+        if (!usable(agent))
             continue;
         worker_forecast forecast;
         forecast.worker = channel;
@@ -158,7 +158,7 @@
     double fastest = std::numeric_limits<double>::max();
     for (const auto& [channel, agent] : agents_)
     {
-        if (agent.worker.accepting)
+        if (usable(agent))
             fastest = std::min(fastest, agent.load.slowness_millis / 1000.0);
     }
     if (fastest == std::numeric_limits<double>::max())
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -51,11 +51,14 @@
                    dispatcher_.on_channel_open(process_.now(), channel);
                    if (const auto version = configuration_.current().version; version > 0)
                        channels_->send(channel, configuration_notice{version});
+                   evacuations_.on_channel_open(process_.now(), channel);
+                   inform_agents_of_evacuations(process_.now());
                },
                [this](channel_id channel)
                {
                    dispatcher_.on_channel_lost(process_.now(), channel);
                    configuration_.on_channel_lost(channel);
+                   evacuations_.on_channel_lost(channel);
                    apply_effects();
                },
                [this](channel_id channel, const lease_frame& frame) { on_frame(channel, frame); }});
@@ -206,18 +209,39 @@
 void leased_entry_daemon::on_store_event(const store_event& event)
 {
     if (const auto* snapshot = std::get_if<store_snapshot>(&event))
-    {
-        for (const auto& item : snapshot->items)
-        {
-            if (protocols_.configuration->is_configuration(item.key))
-                apply_configuration(item.value);
-        }
-    }
+        on_snapshot(process_.now(), *snapshot);
     else if (const auto* change = std::get_if<store_change>(&event))
+        on_change(process_.now(), *change);
+}
+
+void leased_entry_daemon::on_snapshot(instant now, const store_snapshot& snapshot)
+{
+    std::set<std::string> domains;
+    for (const auto& item : snapshot.items)
     {
-        if (change->item && protocols_.configuration->is_configuration(change->key))
-            apply_configuration(change->item->value);
+        if (protocols_.configuration->is_configuration(item.key))
+            apply_configuration(item.value);
+        if (auto domain = protocols_.configuration->evacuated_domain(item.key))
+            domains.insert(std::move(*domain));
     }
+    if (evacuations_.on_snapshot(now, snapshot.revision, std::move(domains)))
+        dispatcher_.set_evacuated_domains(now, evacuations_.current());
+}
+
+void leased_entry_daemon::on_change(instant now, const store_change& change)
+{
+    if (change.item && protocols_.configuration->is_configuration(change.key))
+        apply_configuration(change.item->value);
+    const auto domain = protocols_.configuration->evacuated_domain(change.key);
+    // Agents are informed on the next tick, when all changes of one transaction have been applied.
+    if (domain && evacuations_.on_change(now, change.revision, *domain, change.item.has_value()))
+        dispatcher_.set_evacuated_domains(now, evacuations_.current());
+}
+
+void leased_entry_daemon::inform_agents_of_evacuations(instant now)
+{
+    for (auto& [channel, message] : evacuations_.take_messages(now))
+        channels_->send(channel, std::move(message));
 }
 
 void leased_entry_daemon::apply_configuration(const std::string& document)
@@ -257,6 +281,11 @@
             configuration_.on_notice(channel, notice->version);
         else if (std::holds_alternative<configuration_request>(message))
             channels_->send(channel, configuration_.current());
+        else if (const auto* copy = std::get_if<evacuated_domains>(&message))
+        {
+            if (evacuations_.on_copy(now, channel, *copy))
+                dispatcher_.set_evacuated_domains(now, evacuations_.current());
+        }
         else
             dispatcher_.on_message(now, channel, message);
     }
@@ -283,6 +312,7 @@
     store_.on_tick(now);
     dispatcher_.on_tick(now);
     request_configuration(now);
+    inform_agents_of_evacuations(now);
     apply_effects();
     if (!stopping_)
         return;
@@ -337,6 +367,7 @@
            gauge_text("workers_accepting", dispatcher_.accepting_worker_count()) +
            gauge_text("caller_connections", caller_server_->connections()) +
            gauge_text("configuration_version", routes_.version()) +
+           gauge_text("evacuated_domains", evacuations_.current().failure_domains().size()) +
            counter_text("log_lines_dropped_total", dropped_log_line_count()) +
            counter_text("unexpected_errors_total", unexpected_error_count()) +
            dispatcher_.levels().metrics();
--- a/src/process/leased_entry_daemon.hpp
+++ b/src/process/leased_entry_daemon.hpp
@@ -4,6 +4,7 @@
 #include "connection/loop_http_server.hpp"
 #include "process/loop_process.hpp"
 #include "tarragonlock/process/configuration_relay.hpp"
+#include "tarragonlock/process/evacuation_relay.hpp"
 #include "tarragonlock/process/leased_dispatcher.hpp"
 #include "tarragonlock/process/leased_protocols.hpp"
 #include "tarragonlock/process/leased_settings.hpp"
@@ -50,6 +51,9 @@
                 std::string_view path_suffix);
     void on_store_event(const store_event& event);
     void apply_configuration(const std::string& document);
+    void on_snapshot(instant now, const store_snapshot& snapshot);
+    void on_change(instant now, const store_change& change);
+    void inform_agents_of_evacuations(instant now);
     void request_configuration(instant now);
     void on_frame(channel_id channel, const lease_frame& frame);
     void on_tick(instant now);
@@ -72,6 +76,7 @@
     std::unique_ptr<loop_http_server> announcement_server_;
     route_table routes_;
     configuration_relay configuration_;
+    evacuation_relay evacuations_;
     bool stopping_ = false;
     instant stop_requested_at_;
     std::uint64_t malformed_requests_ = 0;
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -53,6 +53,8 @@
     if (const auto version = configuration().version; version > 0)
         effects_.emplace_back(to_entry{channel, configuration_notice{version}});
     configuration_.on_channel_open(channel);
+    evacuations_.on_channel_open(now, channel);
+    inform_entries_of_evacuations(now);
 }
 
 void task_host::on_channel_lost(instant now, channel_id channel)
@@ -65,6 +67,7 @@
     const auto had_tasks = found->second.task_count;
     entries_.erase(found);
     configuration_.on_channel_lost(channel);
+    evacuations_.on_channel_lost(channel);
     for (auto task = tasks_.begin(); task != tasks_.end();)
     {
         const auto next = std::next(task);
@@ -106,6 +109,7 @@
         if (!accepting(now) || tasks_.contains(id) || !entry_lease_valid(now, channel))
         {
             ++counters_.returned;
+            counters_.returned_for_evacuation += in_evacuated_domain() ? 1 : 0;
             effects_.emplace_back(
                 to_entry{channel, task_end{request.job, request.step, placed.index, placed.attempt,
                                            task_end_kind::not_started, 0}});
@@ -168,34 +172,6 @@
     entries_[channel].reduced_reports = preference.reduced;
 }
 
-void task_host::handle(instant now, channel_id, const configuration_copy& copy)
-{
-    configuration_.store_if_newer(now, copy);
-}
-
-void task_host::handle(instant now, channel_id channel, const configuration_notice& notice)
-{
-    configuration_.on_notice(channel, notice.version);
-    request_configuration(now);
-}
-
-void task_host::handle(instant, channel_id channel, const configuration_request&)
-{
-    effects_.emplace_back(to_entry{channel, configuration()});
-}
-
-void task_host::request_configuration(instant now)
-{
-    if (const auto peer = configuration_.next_peer_to_ask(now))
-        effects_.emplace_back(to_entry{*peer, configuration_request{}});
-}
-
-void task_host::notify_entries_of_configuration(instant now)
-{
-    for (const auto channel : configuration_.take_peers_to_notify(now))
-        effects_.emplace_back(to_entry{channel, configuration_notice{configuration().version}});
-}
-
 void task_host::withdraw(instant now, task_map::iterator task, instant must_end_by)
 {
     auto& hosted = task->second;
@@ -278,7 +254,7 @@
 
 bool task_host::accepting(instant now) const
 {
-    return worker_ && worker_->accepting && !draining_ &&
+    return worker_ && worker_->accepting && !draining_ && !in_evacuated_domain() &&
            unanswered_renewals_ < max_unanswered_renewals && announced_recently(now);
 }
 
@@ -457,10 +433,11 @@
     finish(now, tasks_.find({run.job, run.step, run.index}), task_end_kind::not_started);
 }
 
-/// Sends a start that the worker refused again, unless its reply lay unread for too long.
+/// Sends a start that the worker refused again, unless its reply lay unread for too long or the
+/// worker's failure domain has been evacuated.
 bool task_host::repeat_start(instant now, hosted_task& task)
 {
-    if (!entry_lease_valid(now, task.channel))
+    if (!entry_lease_valid(now, task.channel) || in_evacuated_domain())
         return false;
     send_start(now, task);
     return true;
@@ -606,6 +583,7 @@
     start_waiting_tasks(now);
     request_configuration(now);
     notify_entries_of_configuration(now);
+    inform_entries_of_evacuations(now);
     std::erase_if(last_run_numbers_, [now](const auto& item)
                   { return now - item.second.second > run_number_retention; });
     send_load_reports(now);
@@ -709,7 +687,8 @@
                   described.accepting ? "worker_accepting" : "worker_not_accepting",
                   {{"worker", worker_ ? worker_->id : std::string()},
                    {"silent_renewals", unanswered_renewals_},
-                   {"draining", draining_ ? 1 : 0}});
+                   {"draining", draining_ ? 1 : 0},
+                   {"evacuated", in_evacuated_domain() ? 1 : 0}});
     if (described != reported_description_)
     {
         reported_description_ = std::move(described);
--- a/src/version/loop_store_client.cpp
+++ b/src/version/loop_store_client.cpp
@@ -99,6 +99,7 @@
     ++read_round_;
     reads_in_flight_ = 0;
     revision_ = *read->revision;
+    read->pages.revision = revision_;
     watch_ = watch_state::ready;
     on_event_(std::move(read->pages));
     open_watch();
--- a/tests/connection/lease_codec_test.cpp
+++ b/tests/connection/lease_codec_test.cpp
@@ -26,7 +26,8 @@
             task_end{"one", 0, 3, 2, task_end_kind::stopped, 12},
             configuration_notice{4},
             configuration_request{},
-            configuration_copy{4, "text"}};
+            configuration_copy{4, "text"},
+            evacuated_domains{20, {"fd-1", "fd-2"}}};
 }
 
 } // namespace
@@ -57,4 +58,16 @@
     BOOST_TEST((decode_frame("\x09").error() == codec_error::unknown_version));
 }
 
+BOOST_AUTO_TEST_CASE(odd_lists_of_evacuated_domains_are_rejected)
+{
+    const auto accepted = [](const std::vector<std::string>& names) {
+        return decode_frame(encode_frame({evacuated_domains{20, names}}).value()).has_value();
+    };
+    BOOST_TEST(accepted({std::string(200, 'x')}));
+    BOOST_TEST(!accepted({std::string(201, 'x')}));
+    BOOST_TEST(!accepted({""}));
+    BOOST_TEST(accepted(std::vector<std::string>(1024, "fd-1")));
+    BOOST_TEST(!accepted(std::vector<std::string>(1025, "fd-1")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/explore_leased.cpp
+++ b/tests/explore_leased.cpp
@@ -18,14 +18,15 @@
 Usage:
   explore_leased [--seeds N] [--first-seed S] [--without MECHANISM] [--until-found] [--trace]
                  [--unseen-restarts] [--replaced-workers] [--impatient-callers] [--domains N]
-                 [--unhealthy-workers] [--clock-steps]
+                 [--unhealthy-workers] [--clock-steps] [--evacuations]
 
 Options:
   --seeds N            Schedules to run [default: 100].
   --first-seed S       Seed of the first [default: 1].
   --without MECHANISM  Switch one mechanism off: entry-lease, lease-cap, bar, unknown-runs, fence,
                        withdrawal, lost-agent-wait, start-check, named-worker, unread-time,
-                       silent-worker-renewal, renewal-fence, held-placements, stall-handling
+                       silent-worker-renewal, renewal-fence, held-placements,
+                       evacuation-at-agent, stall-handling
                        (unread-time and held-placements together).
   --until-found        Stop at the first violation.
   --unseen-restarts    Restart workers also while their agent is suspended or down.
@@ -35,6 +36,8 @@
                        read the end of their connections late.
   --unhealthy-workers  Workers refuse all requests for some seconds.
   --clock-steps        Wall clocks of hosts are set forward and back by up to 30 s.
+  --evacuations        Failure domains are evacuated and used again, and entries are cut from the
+                       key-value service.
   --domains N          Failure domains of entries and agents [default: 1].
   --trace              Print the steps of each schedule.
 
@@ -61,6 +64,7 @@
     {"named-worker", [](leased_fleet_options& o) { o.host.send_worker_id = false; }},
     {"silent-worker-renewal", [](leased_fleet_options& o) { o.host.ask_silent_worker = false; }},
     {"renewal-fence", [](leased_fleet_options& o) { o.host.raise_fence_for_renewals = false; }},
+    {"evacuation-at-agent", [](leased_fleet_options& o) { o.host.heed_evacuations = false; }},
     {"unread-time", [](leased_fleet_options& o) { o.count_unread_time = false; }},
     {"held-placements", [](leased_fleet_options& o) { o.hold_after_stall = false; }},
     {"stall-handling",
@@ -91,6 +95,7 @@
             options.caller_patience = std::chrono::milliseconds(1500);
         options.unhealthy_workers = arguments["--unhealthy-workers"].asBool();
         options.clock_steps = arguments["--clock-steps"].asBool();
+        options.evacuations = arguments["--evacuations"].asBool();
         options.failure_domains = static_cast<std::size_t>(arguments["--domains"].asLong());
         if (arguments["--trace"].asBool())
             options.trace = [seed](const std::string& line)
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -99,6 +99,10 @@
     settings.failure_domain = failure_domain(index);
     settings.wait_for_lost_agents = options_.wait_for_lost_agents;
     entry.core = std::make_unique<leased_dispatcher>(now_, settings);
+    entry.evacuations = {};
+    entry.changes_read = 0;
+    if (options_.evacuations)
+        schedule_store_read(index);
 }
 
 void leased_fleet::start_agent(std::size_t index)
@@ -136,6 +140,7 @@
                                       [this, entry, channel]
                                       {
                                           entries_[entry].core->on_channel_lost(now_, channel);
+                                          entries_[entry].evacuations.on_channel_lost(channel);
                                           apply_entry_effects(entry);
                                       });
                  });
@@ -177,7 +182,8 @@
                               {
                                   if (to_entry)
                                   {
-                                      entries_[entry].core->on_message(now_, channel, body);
+                                      if (!handle_evacuated_domains(entry, channel, body))
+                                          entries_[entry].core->on_message(now_, channel, body);
                                       entries_[entry].core->on_frame_end(now_);
                                       apply_entry_effects(entry);
                                   }
@@ -239,8 +245,13 @@
                 continue;
             link.last_connect = now_;
             link.channel = ++last_channel_;
-            call_process(entries_[entry], [this, entry, channel = link.channel]
-                         { entries_[entry].core->on_channel_open(now_, channel); });
+            call_process(entries_[entry],
+                         [this, entry, channel = link.channel]
+                         {
+                             entries_[entry].core->on_channel_open(now_, channel);
+                             entries_[entry].evacuations.on_channel_open(now_, channel);
+                             inform_agents_of_evacuations(entry);
+                         });
             agents_[agent].core->on_channel_open(now_, link.channel);
             apply_entry_effects(entry);
             apply_agent_effects(agent);
@@ -311,6 +322,7 @@
 
 void leased_fleet::send_to_worker(std::size_t agent, const start_request& request)
 {
+    check_evacuated_start(agent, request);
     const auto incarnation = agents_[agent].incarnation;
     const auto known = jobs_.find(request.run.job);
     const duration work = known != jobs_.end() && known->second.work_ms > 0
@@ -738,6 +750,11 @@
 void leased_fleet::inject_fault()
 {
     ++result_.faults;
+    if (options_.evacuations && chance(0.5))
+    {
+        inject_evacuation_event();
+        return;
+    }
     if ((options_.unhealthy_workers || options_.clock_steps) && chance(0.3))
     {
         inject_worker_fault();
@@ -870,7 +887,9 @@
     const auto finish = begin + options_.length;
     while (now_ < finish)
     {
-        faults_enabled_ = finish - now_ > std::chrono::seconds(10);
+        if (std::exchange(faults_enabled_, finish - now_ > std::chrono::seconds(10)) &&
+            !faults_enabled_)
+            end_evacuations();
         while (!events_.empty() && events_.begin()->first <= now_)
         {
             const auto action = std::move(events_.begin()->second);
@@ -902,6 +921,7 @@
                 if (entries_[i].alive && entries_[i].suspended_until <= now_)
                 {
                     entries_[i].core->on_tick(now_);
+                    inform_agents_of_evacuations(i);
                     apply_entry_effects(i);
                 }
             }
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -2,6 +2,7 @@
 
 #include "fakes/capacity_bound.hpp"
 #include "fakes/virtual_worker.hpp"
+#include "tarragonlock/process/evacuation_relay.hpp"
 #include "tarragonlock/process/leased_dispatcher.hpp"
 #include "tarragonlock/process/task_host.hpp"
 
@@ -111,6 +112,9 @@
     /// Whether the wall clocks of hosts are set forward and back by some seconds. Agents derive
     /// their first fence from their wall clock, workers their start time.
     bool clock_steps = false;
+    /// Whether operators evacuate failure domains and use them again, while entries are cut from
+    /// the key-value service one at a time, or all at once.
+    bool evacuations = false;
     /// Receives a line for each submission, start, stop, answer and fault.
     std::function<void(const std::string&)> trace;
 };
@@ -168,6 +172,12 @@
     struct entry_process : process
     {
         std::unique_ptr<leased_dispatcher> core;
+        evacuation_relay evacuations;
+        /// Number of changes of the key-value service that the process has read.
+        std::size_t changes_read = 0;
+        /// When the host's cut from the service ends; outlives the process.
+        instant store_cut_until;
+        bool lost_history = false;
     };
     struct pending_renewal
     {
@@ -257,6 +267,20 @@
     void check_all_workers_used();
     /// Ends a cut and delivers the delayed messages.
     void heal(std::size_t entry, std::size_t agent);
+    /// Evacuates a domain, ends an evacuation, or cuts entries from the key-value service.
+    void inject_evacuation_event();
+    void set_evacuated(const std::string& domain, bool evacuated);
+    void end_evacuations();
+    void cut_entry_from_store(std::size_t index, duration length);
+    /// Schedules that an entry reads the changes of the key-value service.
+    void schedule_store_read(std::size_t index);
+    void read_store(std::size_t index);
+    /// Handles a message about evacuated domains as an entry's process does.
+    /// @return whether the message was one
+    bool handle_evacuated_domains(std::size_t entry, channel_id channel, const lease_message& body);
+    void inform_agents_of_evacuations(std::size_t entry);
+    /// Records a violation if the agent's domain has been evacuated for too long for a start.
+    void check_evacuated_start(std::size_t agent, const start_request& request);
     double fleet_speed_at(instant when) const;
     void add_trace(const std::string& text);
     bool chance(double probability);
@@ -273,6 +297,16 @@
     std::map<std::string, caller_job> jobs_;
     std::map<caller_id, std::string> callers_;
     run_tracker tracker_;
+    struct evacuation_change
+    {
+        std::int64_t revision = 0;
+        std::string domain;
+        bool evacuated = false;
+    };
+    std::vector<evacuation_change> evacuation_changes_;
+    /// When each evacuated domain was evacuated, or when the service could be read after that.
+    std::map<std::string, instant> evacuated_since_;
+    instant store_down_until_;
     queue_rule rule_;
     std::vector<instant> next_jobs_;
     channel_id last_channel_ = 0;
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -146,4 +146,13 @@
         BOOST_TEST(!format->decode(bad).has_value(), bad);
 }
 
+BOOST_AUTO_TEST_CASE(only_the_keys_of_evacuations_name_a_failure_domain)
+{
+    const auto format = platform::make_configuration_format();
+    BOOST_TEST((format->evacuated_domain("op/evacuate/riga-a") == "riga-a"));
+    for (const auto* other : {"op/evacuate/", "op/evacuate", "op/evacuated/riga-a", "op/wave/3",
+                              "op/config", "tarragonlock/op/evacuate/riga-a", ""})
+        BOOST_TEST(!format->evacuated_domain(other), other);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/store_http_client_test.cpp
+++ b/tests/platform/store_http_client_test.cpp
@@ -136,6 +136,7 @@
     BOOST_REQUIRE(batch.has_value());
     BOOST_REQUIRE_EQUAL(batch.value().changes.size(), 1U);
     BOOST_TEST(!batch.value().changes[0].item.has_value());
+    BOOST_TEST(batch.value().changes[0].revision == 8);
 }
 
 BOOST_AUTO_TEST_CASE(a_deeply_nested_answer_is_an_error)
--- a/tests/process/leased_dispatcher_test.cpp
+++ b/tests/process/leased_dispatcher_test.cpp
@@ -558,4 +558,58 @@
     BOOST_TEST(f.withdrawn.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(no_task_is_placed_in_an_evacuated_domain)
+{
+    fixture f;
+    f.set_failure_domain(1, "fd-1");
+    f.entry.set_evacuated_domains(f.now, {20, {"fd-0", "unknown"}});
+    BOOST_TEST(f.entry.accepting_worker_count() == 1U);
+    f.submit("one", 12, 100);
+    BOOST_REQUIRE(!f.placed.empty());
+    for (const auto& [channel, request] : f.placed)
+        BOOST_TEST(channel == 1U);
+    f.placed.clear();
+    f.entry.set_evacuated_domains(f.now, {21, {"fd-1"}});
+    f.submit("two", 3, 100, 2);
+    BOOST_REQUIRE(!f.placed.empty());
+    for (const auto& [channel, request] : f.placed)
+        BOOST_TEST(channel == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(with_every_domain_evacuated_jobs_are_refused_at_once)
+{
+    fixture f;
+    f.set_failure_domain(1, "fd-1");
+    f.now += std::chrono::seconds(2);
+    f.report(1, no_resources, 1000, 0, full_queue_cpu);
+    f.report(2, no_resources, 1000, 0, full_queue_cpu);
+    f.submit("waiting", 1, 100, 1);
+    BOOST_TEST(f.answers.empty());
+    f.entry.set_evacuated_domains(f.now, {20, {"fd-0", "fd-1"}});
+    f.collect_effects();
+    BOOST_TEST(!f.entry.has_workers());
+    f.submit("new", 1, 100, 2);
+    BOOST_REQUIRE_EQUAL(f.answers.size(), 2U);
+    for (const auto& [caller, answer] : f.answers)
+    {
+        BOOST_TEST((answer.outcome == leased_outcome::refused));
+        BOOST_TEST((answer.reason == leased_reason::no_worker));
+        BOOST_TEST(answer.retry_after_ms == 1000U);
+    }
+    BOOST_TEST(f.placed.empty());
+}
+
+BOOST_AUTO_TEST_CASE(tasks_returned_from_an_evacuated_domain_are_placed_elsewhere)
+{
+    fixture f;
+    f.set_failure_domain(2, "fd-1");
+    f.submit("one", 1, 100);
+    BOOST_REQUIRE_EQUAL(f.placed.size(), 1U);
+    const auto first = f.placed[0].first;
+    f.entry.set_evacuated_domains(f.now, {20, {first == 1 ? "fd-0" : "fd-1"}});
+    f.end_task(first, "one", 0, task_end_kind::not_started);
+    BOOST_REQUIRE_EQUAL(f.placed.size(), 2U);
+    BOOST_TEST(f.placed[1].first != first);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -845,4 +845,81 @@
     }
 }
 
+/// Sends the agent the evacuated domains; the worker's domain is "fd-0".
+void announce_in_domain(fixture& f)
+{
+    auto announced = f.announcement(first_start_time_ms);
+    announced.failure_domain = "fd-0";
+    f.host->on_announcement(f.now, announced);
+    f.collect_effects();
+}
+
+BOOST_AUTO_TEST_CASE(nothing_starts_in_an_evacuated_domain)
+{
+    fixture f;
+    announce_in_domain(f);
+    f.place(entry_a, "running", 2);
+    f.place(entry_a, "waiting", 2);
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 2U);
+    f.host->on_message(f.now, entry_b, evacuated_domains{20, {"fd-0", "fd-9"}});
+    f.collect_effects();
+    BOOST_TEST(f.ends.size() == 2U);
+    BOOST_TEST(f.host->running() == 2U);
+    BOOST_TEST(f.stops.empty());
+    BOOST_TEST(!f.descriptions[entry_a].accepting);
+    // The placing entry does not know of the evacuation yet.
+    f.place(entry_a, "late", 1);
+    BOOST_TEST(f.ends.size() == 3U);
+    for (const auto& end : f.ends)
+        BOOST_TEST((end.kind == task_end_kind::not_started));
+    BOOST_TEST(f.host->counters().returned_for_evacuation == 3U);
+    // The worker had raised its fence: the refused start is not repeated.
+    f.host->on_start_reply(f.now, f.starts[0].run, start_reply::fenced, 5000);
+    f.collect_effects();
+    BOOST_TEST(f.starts.size() == 2U);
+    BOOST_TEST(f.host->running() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_domain_that_is_no_longer_evacuated_is_used_at_once)
+{
+    fixture f;
+    announce_in_domain(f);
+    f.host->on_message(f.now, entry_a, evacuated_domains{20, {"fd-0"}});
+    f.host->on_message(f.now, entry_a, evacuated_domains{19, {}});
+    f.place(entry_a, "early", 1);
+    BOOST_TEST(f.starts.empty());
+    f.host->on_message(f.now, entry_a, evacuated_domains{21, {"fd-1"}});
+    f.collect_effects();
+    BOOST_TEST(f.descriptions[entry_a].accepting);
+    f.place(entry_a, "one", 1);
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_agent_informs_entries_of_evacuations_that_they_lack)
+{
+    fixture f;
+    f.host->on_message(f.now, entry_a, evacuated_domains{20, {"fd-0"}});
+    std::map<channel_id, evacuated_domains> informed;
+    const auto collect = [&]
+    {
+        for (auto& effect : f.host->take_effects())
+        {
+            if (const auto* message = std::get_if<to_entry>(&effect))
+            {
+                if (const auto* copy = std::get_if<evacuated_domains>(&message->body))
+                    informed[message->channel] = *copy;
+            }
+        }
+    };
+    f.host->on_channel_open(f.now, 3);
+    collect();
+    BOOST_REQUIRE_EQUAL(informed.size(), 1U);
+    BOOST_TEST((informed.at(3) == evacuated_domains{20, {"fd-0"}}));
+    f.now += milliseconds(600);
+    f.host->on_tick(f.now);
+    collect();
+    BOOST_TEST(informed.contains(entry_b));
+    BOOST_TEST(!informed.contains(entry_a));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/version/loop_store_client_test.cpp
+++ b/tests/version/loop_store_client_test.cpp
@@ -149,6 +149,7 @@
     f.kv_client.lists[1](fixture::page("rest", 8));
     BOOST_REQUIRE_EQUAL(f.events.size(), 1U);
     BOOST_TEST(std::get<store_snapshot>(f.events[0]).items.at(0).value == "rest");
+    BOOST_TEST(std::get<store_snapshot>(f.events[0]).revision == 5);
     BOOST_TEST(f.kv_client.watched_after == 5);
 }
 
