entry: take back waiting tasks before answering, and answer hopeless jobs at once

Cause: every task placed at an agent counted as possibly running, also one that only waited there or whose start the worker never executed, so jobs that had reached no worker were answered 504. An entry that woke from a freeze answered overdue jobs before it had read their ends. Begun jobs, and jobs of a lost agent, were held until their deadline when nothing could end them in time any more.

Agents answer take_back_job, and report never_ran for an unanswered start that the worker has shown not to have run. Frame version 5. Waiting tasks are also taken back before the last answers of an entry that stops.

--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -114,12 +114,28 @@
     friend bool operator==(const withdraw_job&, const withdraw_job&) = default;
 };
 
+/// Asks an agent to return the tasks of a job that wait there. The agent reports each of them as
+/// not started, and then sends job_taken_back; tasks that it has started go on.
+struct take_back_job
+{
+    std::string job;
+    friend bool operator==(const take_back_job&, const take_back_job&) = default;
+};
+
+/// Answer to take_back_job; follows the reports of the tasks that were returned.
+struct job_taken_back
+{
+    std::string job;
+    friend bool operator==(const job_taken_back&, const job_taken_back&) = default;
+};
+
 enum class task_end_kind : std::uint8_t
 {
     done,
     failed,
     not_started, ///< was never sent to the worker
-    stopped      ///< ended without a result, and no part of it is running any more
+    stopped,     ///< ended without a result, and no part of it is running any more
+    never_ran    ///< was sent to the worker, which has shown that it did not run and never will
 };
 
 /// @return the name used in logs.
@@ -159,9 +175,10 @@
     friend bool operator==(const configuration_copy&, const configuration_copy&) = default;
 };
 
-using lease_message = std::variant<agent_hello, worker_description, agent_report, lease_renewal,
-                                   place_tasks, withdraw_job, task_end, configuration_notice,
-                                   configuration_request, configuration_copy, report_preference>;
+using lease_message =
+    std::variant<agent_hello, worker_description, agent_report, lease_renewal, place_tasks,
+                 withdraw_job, task_end, configuration_notice, configuration_request,
+                 configuration_copy, report_preference, take_back_job, job_taken_back>;
 
 /// Messages that are sent together.
 using lease_frame = std::vector<lease_message>;
--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "tarragonlock/process/task_host.hpp"
 #include "tarragonlock/request/job_order.hpp"
 #include "tarragonlock/request/leased_job.hpp"
+#include "tarragonlock/request/task_exposure.hpp"
 #include "tarragonlock/request/worker_forecast.hpp"
 #include "tarragonlock/version/route_table.hpp"
 
@@ -69,6 +70,10 @@
     std::uint64_t tasks_returned = 0;
     std::uint64_t tasks_stopped = 0;
     std::uint64_t agents_lost = 0;
+    /// Jobs that were refused after their agents had returned the tasks that waited there.
+    std::uint64_t jobs_taken_back = 0;
+    /// Jobs that were answered before their deadline because they could not end in time any more.
+    std::uint64_t jobs_hopeless = 0;
 };
 
 /// Decision logic of an entry for leased jobs: admission, placement, retries and the answers to
@@ -98,6 +103,9 @@
     /// Answers every job because the process is shutting down: as given up if a task may have
     /// started, otherwise as refused.
     void end_all_jobs(instant now);
+    /// Asks the agents of all jobs to return the tasks that wait there, before end_all_jobs(), and
+    /// places no further task. Refuses the jobs of which no task has been placed.
+    void take_back_all_jobs(instant now);
     /// @return the response time that a queue allows a job, computed from declared run times.
     static duration allowed_response_time(const leased_job_request& request,
                                           const queue_rule& rule);
@@ -153,16 +161,15 @@
         /// Tasks by step.
         std::vector<std::vector<task>> steps;
         std::uint32_t unfinished_tasks = 0;
-        /// Tasks placed at connected agents or at lost ones.
-        std::uint32_t possibly_running_tasks = 0;
-        /// Runs that ended with any result, or must have ended since their agent was lost.
-        std::uint32_t ended_runs = 0;
+        job_exposure exposure;
+        /// When the next timer for judge() is due.
+        instant next_judgement;
         std::uint64_t sequence = 0;
         /// Position among the waiting jobs; empty when no task is ready to be placed.
         std::optional<leased_job_rank> rank;
 
         /// @return whether a task may have been given to a worker.
-        bool may_have_started() const { return possibly_running_tasks > 0 || ended_runs > 0; }
+        bool may_have_started() const { return exposure.may_have_started(); }
     };
 
     struct placement_in_flight
@@ -214,6 +221,7 @@
     bool is_remote(const connected_agent& agent) const;
     void handle(instant now, channel_id channel, const agent_report& report);
     void handle(instant now, channel_id channel, const task_end& end);
+    void handle(instant now, channel_id channel, const job_taken_back& reply);
     template<class T>
     void handle(instant, channel_id, const T&)
     {
@@ -261,8 +269,16 @@
     void apply_task_end(instant now, job_map::iterator found, task& ended, task_end_kind kind);
     void on_timer(instant now, job_map::iterator found);
     void run_due_timers(instant now);
-    /// Answers a job whose caller no longer waits.
-    void answer_overdue(instant now, job_map::iterator found);
+    double fastest_slowness() const;
+    job_times times_of(instant now, const active_job& job) const;
+    /// Answers a job that can't be in time any more, or asks its agents to return its tasks first.
+    /// The job may be gone afterwards.
+    void judge(instant now, job_map::iterator found);
+    /// Places or refuses a late job, and judges it.
+    void review(instant now, job_map::iterator found);
+    void take_back(instant now, active_job& job);
+    /// @param reason  why the job is answered before it has ended
+    static leased_answer final_answer(const active_job& job, leased_reason reason);
     void place_or_refuse_late_job(instant now, job_map::iterator found);
     /// @return a worker's free resources, less the demand of placements in flight.
     static resource_amount available_resources(const connected_agent& agent);
--- a/src/connection/lease_codec.cpp
+++ b/src/connection/lease_codec.cpp
@@ -9,13 +9,13 @@
 {
 
 /// Version of the layout of frames between entries and agents of leased jobs.
-constexpr std::uint8_t lease_frame_version = 4;
+constexpr std::uint8_t lease_frame_version = 5;
 /// Longest frame, in bytes; large enough for a configuration of a megabyte.
 constexpr std::size_t max_frame_bytes = 4U << 20U;
 
 checked_enum<task_end_kind> checked(task_end_kind& value)
 {
-    return {value, task_end_kind::stopped};
+    return {value, task_end_kind::never_ran};
 }
 
 checked_enum<worker_condition> checked(worker_condition& value)
@@ -45,6 +45,8 @@
 TARRAGONLOCK_FIELDS(place_tasks, v.job, v.spec, v.step, v.demand, v.declared_ms, v.priority,
                     v.start_within_ms, v.tasks)
 TARRAGONLOCK_FIELDS(withdraw_job, v.job)
+TARRAGONLOCK_FIELDS(take_back_job, v.job)
+TARRAGONLOCK_FIELDS(job_taken_back, v.job)
 TARRAGONLOCK_FIELDS(task_end, v.job, v.step, v.index, v.attempt, checked(v.kind), v.run_ms)
 TARRAGONLOCK_FIELDS(configuration_notice, v.version)
 TARRAGONLOCK_FIELDS(configuration_copy, v.version, v.document)
@@ -68,6 +70,8 @@
         return "not_started";
     case task_end_kind::stopped:
         return "stopped";
+    case task_end_kind::never_ran:
+        return "never_ran";
     }
     return "unknown";
 }
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -80,7 +80,9 @@
                     continue;
                 task.state = task_state::lost;
                 task.retry_at = retry_at;
+                job->exposure.on_agent_lost(channel);
                 schedule_timer(retry_at, id);
+                schedule_timer(now, id);
             }
         }
     }
@@ -194,10 +196,11 @@
                                        task_end_kind kind)
 {
     auto& job = *found->second;
-    --job.possibly_running_tasks;
     ended.state = task_state::unplaced;
-    if (kind != task_end_kind::not_started)
-        ++job.ended_runs;
+    if (kind == task_end_kind::not_started || kind == task_end_kind::never_ran)
+        job.exposure.on_returned();
+    else
+        job.exposure.on_ended();
     switch (kind)
     {
     case task_end_kind::done:
@@ -217,6 +220,7 @@
         }
         break;
     case task_end_kind::stopped:
+    case task_end_kind::never_ran:
         ended.last_failed_worker = ended.channel;
         ++counters_.tasks_stopped;
         break;
@@ -225,7 +229,7 @@
         break;
     }
     enqueue(now, job);
-    place_or_refuse_late_job(now, found);
+    review(now, found);
 }
 
 duration leased_dispatcher::critical_path_time(const leased_job_request& request)
@@ -296,7 +300,7 @@
     enqueue(now, *added->second);
     dispatch(now);
     if (const auto late = jobs_.find(id); late != jobs_.end())
-        place_or_refuse_late_job(now, late);
+        review(now, late);
 }
 
 void leased_dispatcher::refuse(caller_id caller, const leased_job_request& request,
@@ -324,8 +328,8 @@
                {"took_ms", took},
                {"goal_ms", to_ms(job.response_due - job.accepted)},
                {"open_tasks", job.unfinished_tasks},
-               {"exposed_tasks", job.possibly_running_tasks},
-               {"ended_runs", job.ended_runs}});
+               {"exposed_tasks", job.exposure.offered()},
+               {"ended_runs", job.exposure.ended()}});
     counters_.completed += reply.outcome == leased_outcome::completed ? 1 : 0;
     counters_.failed += reply.outcome == leased_outcome::failed ? 1 : 0;
     counters_.refused += reply.outcome == leased_outcome::refused ? 1 : 0;
@@ -398,20 +402,6 @@
     return true;
 }
 
-void leased_dispatcher::end_all_jobs(instant now)
-{
-    while (!jobs_.empty())
-    {
-        const auto found = jobs_.begin();
-        const auto retry_ms = static_cast<std::uint32_t>(to_ms(no_worker_retry_delay));
-        answer(
-            now, found,
-            found->second->may_have_started()
-                ? leased_answer{leased_outcome::given_up, leased_reason::shutting_down, 0}
-                : leased_answer{leased_outcome::refused, leased_reason::shutting_down, retry_ms});
-    }
-}
-
 std::uint32_t leased_dispatcher::unanswered_jobs(const std::string& queue) const
 {
     std::uint32_t count = 0;
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -155,14 +155,6 @@
 /// @return the run time of the longest unplaced task on the fastest worker that accepts tasks.
 duration leased_dispatcher::longest_unplaced_run_time(const active_job& job) const
 {
-    double fastest = std::numeric_limits<double>::max();
-    for (const auto& [channel, agent] : agents_)
-    {
-        if (agent.worker.accepting)
-            fastest = std::min(fastest, agent.load.slowness_millis / 1000.0);
-    }
-    if (fastest == std::numeric_limits<double>::max())
-        fastest = 1.0;
     duration longest{};
     for (std::uint32_t step = 0; step < job.steps.size(); ++step)
     {
@@ -170,12 +162,14 @@
         if (declared > longest && !unplaced_tasks(job, step).empty())
             longest = declared;
     }
-    return std::chrono::duration_cast<duration>(longest * fastest);
+    return std::chrono::duration_cast<duration>(longest * fastest_slowness());
 }
 
 void leased_dispatcher::enqueue(instant now, active_job& job)
 {
     dequeue(job);
+    if (job.exposure.taking_back())
+        return;
     bool waits = false;
     for (std::uint32_t step = 0; step < job.steps.size() && !waits; ++step)
         waits = !unplaced_tasks(job, step).empty();
@@ -355,7 +349,7 @@
         const auto count = static_cast<std::uint32_t>(tasks.size());
         counters_.tasks_placed += count;
         agent.task_count += count;
-        job.possibly_running_tasks += count;
+        job.exposure.on_offered(count);
         agent.in_flight.push_back({++agent.placements_sent, requirements.demand, count});
         place_tasks request;
         request.job = job.request.id;
--- a/src/process/leased_dispatcher_timers.cpp
+++ b/src/process/leased_dispatcher_timers.cpp
@@ -39,7 +39,9 @@
         on_channel_lost(now, channel);
         effects_.emplace_back(close_channel{channel});
     }
-    run_due_timers(now);
+    // Reports of agents that decide how jobs are answered may be unread as well.
+    if (!placements_held_)
+        run_due_timers(now);
     dispatch(now);
 }
 
@@ -55,7 +57,7 @@
     for (const auto& id : waiting)
     {
         if (const auto found = jobs_.find(id); found != jobs_.end())
-            place_or_refuse_late_job(now, found);
+            review(now, found);
     }
 }
 
@@ -82,25 +84,11 @@
             if (task.state != task_state::lost || task.retry_at > now)
                 continue;
             task.state = task_state::unplaced;
-            --job.possibly_running_tasks;
-            ++job.ended_runs;
+            job.exposure.on_ended();
         }
     }
-    if (now >= job.deadline)
-    {
-        answer_overdue(now, found);
-        return;
-    }
     enqueue(now, job);
-    place_or_refuse_late_job(now, found);
-}
-
-void leased_dispatcher::answer_overdue(instant now, job_map::iterator found)
-{
-    const bool started = found->second->may_have_started();
-    answer(now, found,
-           started ? leased_answer{leased_outcome::given_up, leased_reason::deadline_passed, 0}
-                   : leased_answer{leased_outcome::refused, leased_reason::overloaded, 1});
+    review(now, found);
 }
 
 /// Places a job that can no longer end in time on any worker that has free resources, even a slow
@@ -111,10 +99,7 @@
     if (placements_held_ || !job.rank || !job.rank->late || job.may_have_started())
         return;
     if (now >= job.deadline)
-    {
-        answer_overdue(now, found);
         return;
-    }
     // A late start on a worker that is too slow for the job is better than none.
     const auto all = forecasts();
     auto workers = all;
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -286,6 +286,12 @@
     apply_effects();
     if (!stopping_)
         return;
+    if (now >= final_answer_time() - take_back_wait && !taken_back_)
+    {
+        taken_back_ = true;
+        dispatcher_.take_back_all_jobs(now);
+        apply_effects();
+    }
     if (now >= final_answer_time())
     {
         dispatcher_.end_all_jobs(now);
@@ -330,6 +336,8 @@
            counter_text("tasks_returned_total", counts.tasks_returned) +
            counter_text("tasks_stopped_total", counts.tasks_stopped) +
            counter_text("agents_lost_total", counts.agents_lost) +
+           counter_text("jobs_taken_back_total", counts.jobs_taken_back) +
+           counter_text("jobs_hopeless_total", counts.jobs_hopeless) +
            counter_text("malformed_requests_total", malformed_requests_) +
            counter_text("abandoned_requests_total", abandoned_requests_) +
            counter_text("store_calls_total", store_.call_count()) +
--- a/src/process/leased_entry_daemon.hpp
+++ b/src/process/leased_entry_daemon.hpp
@@ -73,6 +73,8 @@
     route_table routes_;
     configuration_relay configuration_;
     bool stopping_ = false;
+    /// Whether the tasks that wait at agents have been taken back before the final answers.
+    bool taken_back_ = false;
     instant stop_requested_at_;
     std::uint64_t malformed_requests_ = 0;
     /// Submissions whose client had disconnected before they were read.
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -121,39 +121,12 @@
         return_unstarted_tasks(now, channel, request);
 }
 
-/// Returns the tasks of a placement that did not start at once, so that the entry can place them
-/// elsewhere without delay.
-void task_host::return_unstarted_tasks(instant now, channel_id channel, const place_tasks& request)
-{
-    for (const auto& placed : request.tasks)
-    {
-        const auto task = tasks_.find({request.job, request.step, placed.index});
-        if (task != tasks_.end() && task->second.channel == channel &&
-            task->second.state == task_state::waiting)
-            finish(now, task, task_end_kind::not_started);
-    }
-}
-
 duration task_host::busy_report_interval() const
 {
     // Three consecutive reports may be lost before the entry's lease, which they renew, expires.
     return options_.caller_resend_delay / entry_lease_divisor / 4;
 }
 
-void task_host::handle(instant now, channel_id channel, const withdraw_job& request)
-{
-    const auto must_end_by = now + options_.caller_resend_delay - 2 * resend_margin;
-    for (auto task = tasks_.lower_bound({request.job, 0, 0});
-         task != tasks_.end() && std::get<0>(task->first) == request.job;)
-    {
-        const auto next = std::next(task);
-        if (task->second.channel == channel)
-            withdraw(now, task, must_end_by);
-        task = next;
-    }
-    start_waiting_tasks(now);
-}
-
 void task_host::handle(instant now, channel_id channel, const lease_renewal& renewal)
 {
     auto& entry = entries_[channel];
@@ -196,22 +169,6 @@
         effects_.emplace_back(to_entry{channel, configuration_notice{configuration().version}});
 }
 
-void task_host::withdraw(instant now, task_map::iterator task, instant must_end_by)
-{
-    auto& hosted = task->second;
-    hosted.report_end = false;
-    if (hosted.state == task_state::waiting)
-    {
-        finish(now, task, task_end_kind::not_started);
-        return;
-    }
-    if (!options_.mechanisms.stop_withdrawn_runs)
-        return;
-    hosted.must_end_by = std::min(hosted.must_end_by, must_end_by);
-    if (hosted.state != task_state::stopping)
-        send_stop(now, hosted);
-}
-
 task_host::task_map::iterator task_host::finish(instant now, task_map::iterator task,
                                                 task_end_kind kind)
 {
@@ -412,6 +369,7 @@
     {
     case start_reply::accepted:
         task->state = task_state::running;
+        task->may_have_run = true;
         task->last_progress_ms = clock_ms;
         task->confirmed = true;
         task->conclusive_renewal = last_renewal_number_ + 1;
@@ -500,17 +458,6 @@
     }
 }
 
-void task_host::return_waiting_tasks(instant now)
-{
-    for (auto task = tasks_.begin(); task != tasks_.end();)
-    {
-        if (task->second.state == task_state::waiting)
-            task = finish(now, task, task_end_kind::not_started);
-        else
-            ++task;
-    }
-}
-
 std::size_t task_host::waiting() const
 {
     return static_cast<std::size_t>(
--- a/tests/connection/lease_codec_test.cpp
+++ b/tests/connection/lease_codec_test.cpp
@@ -23,7 +23,9 @@
             lease_renewal{9},
             request,
             withdraw_job{"two"},
-            task_end{"one", 0, 3, 2, task_end_kind::stopped, 12},
+            take_back_job{"two"},
+            job_taken_back{"two"},
+            task_end{"one", 0, 3, 2, task_end_kind::never_ran, 12},
             configuration_notice{4},
             configuration_request{},
             configuration_copy{4, "text"}};
--- a/tests/explore_leased.cpp
+++ b/tests/explore_leased.cpp
@@ -103,13 +103,16 @@
         total.refused += result.refused;
         total.faults += result.faults;
         total.starts += result.starts;
+        total.given_up += result.given_up;
+        total.given_up_unstarted += result.given_up_unstarted;
         total.violations.insert(total.violations.end(), result.violations.begin(),
                                 result.violations.end());
         if (arguments["--until-found"].asBool() && !result.violations.empty())
             break;
     }
     std::cout << "jobs " << total.jobs << ", completed " << total.completed << ", refused "
-              << total.refused << ", starts " << total.starts << ", faults " << total.faults
-              << ", violations " << total.violations.size() << '\n';
+              << total.refused << ", given up " << total.given_up << " ("
+              << total.given_up_unstarted << " without a start), starts " << total.starts
+              << ", faults " << total.faults << ", violations " << total.violations.size() << '\n';
     return total.violations.empty() ? 0 : 1;
 }
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -524,6 +524,14 @@
     add_trace("answered " + found->second + " " + to_string(reply.outcome));
     if (reply.outcome != leased_outcome::refused)
         job.may_have_started = true;
+    if (reply.outcome == leased_outcome::refused && job.submissions == 1 &&
+        tracker_.started_jobs.contains(found->second))
+        tracker_.violations.push_back("refused, but had run: " + found->second);
+    if (reply.outcome == leased_outcome::given_up)
+    {
+        ++result_.given_up;
+        result_.given_up_unstarted += tracker_.started_jobs.contains(found->second) ? 0 : 1;
+    }
     if (reply.outcome == leased_outcome::given_up)
         resend(found->second, resend_delay);
     result_.refused += reply.outcome == leased_outcome::refused ? 1 : 0;
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -122,6 +122,9 @@
     std::uint64_t refused = 0;
     std::uint64_t faults = 0;
     std::uint64_t starts = 0;
+    /// Jobs answered as if they might have run, and those of them that had not.
+    std::uint64_t given_up = 0;
+    std::uint64_t given_up_unstarted = 0;
     /// Messages between entries and agents, and those of them that cross failure domains.
     std::uint64_t messages = 0;
     std::uint64_t remote_messages = 0;
