--- a/src/process/leased_entry_daemon.hpp
+++ b/src/process/leased_entry_daemon.hpp
@@ -78,6 +78,8 @@
     configuration_relay configuration_;
     evacuation_relay evacuations_;
     bool stopping_ = false;
+    /// Whether the tasks that wait at agents have been taken back before the final answers.
+    bool taken_back_ = false;
     instant stop_requested_at_;
     std::uint64_t malformed_requests_ = 0;
     /// Submissions whose client had disconnected before they were read.
