--- a/tests/process/leased_fleet_test.py
+++ b/tests/process/leased_fleet_test.py
@@ -304,7 +304,7 @@
         send_raw(f"127.0.0.1:{BASE_PORT + 40}", head.encode() + body)
         post = f"POST /lots/{7:016x} HTTP/1.1\r\nHost: desk.example\r\nContent-Length: {len(body)}\r\n\r\n"
         send_raw(fleet.entry_address(0), post.encode() + body)
-    for frame in (b"\xff" * 64, b"\x04\0\0\0\x04\xff\xff\xff", b"\x08\0\0\0\x04\1\0\0\0\0\0\0"):
+    for frame in (b"\xff" * 64, b"\x04\0\0\0\x05\xff\xff\xff", b"\x08\0\0\0\x05\1\0\0\0\0\0\0"):
         send_raw(f"{HOSTS[0]}:{PEER_PORT}", frame)
     expect(all(process.poll() is None for process in fleet.processes.running.values()),
            "no process ends on malformed input")
@@ -312,6 +312,38 @@
                "the fleet serves jobs after malformed input")
 
 
+def check_evacuation(fleet):
+    domain = fleet.workers[0].announcement()["zone"]
+    expect(all(worker.announcement()["zone"] == domain for worker in fleet.workers),
+           "the workers are in one failure domain")
+    fleet.store.put("op/evacuate/unknown", b"{}")
+    fleet.store.put("op/wave/1", b"{}")
+    fleet.store.put(f"op/evacuate/{domain}", b"{}")
+    eventually(lambda: all(fleet.readiness_status(i) == 503 for i in range(2)),
+               "no entry is ready while every failure domain is evacuated")
+    agents = [f"127.0.0.1:{BASE_PORT + 50 + i}" for i in range(2)]
+    eventually(lambda: all("tarragonlock_evacuated_domains 2" in call(a, "GET", "/metrics")[1]
+                           for a in agents), "agents know the evacuated domains")
+    starts_before = sum(len(w.started_tasks) for w in fleet.workers)
+    expect(call(fleet.entry_address(0), "POST", *job_request(800))[0] == 503,
+           "a job without a worker outside of evacuated domains is refused")
+    # An entry that starts while the store is down learns of it from the agents.
+    fleet.store.down = True
+    fleet.signal_and_wait("entry", 0, signal.SIGKILL)
+    fleet.start("entry", 0)
+    metrics = f"{HOSTS[0]}:{BASE_PORT + 3}"
+    eventually(lambda: "tarragonlock_evacuated_domains 2" in str(call(metrics, "GET", "/metrics")[1]),
+               "an entry that starts in a store outage knows the evacuated domains")
+    expect(sum(len(w.started_tasks) for w in fleet.workers) == starts_before,
+           "no task starts in an evacuated failure domain")
+    fleet.store.down = False
+    fleet.store.delete(f"op/evacuate/{domain}")
+    eventually(lambda: all(fleet.readiness_status(i) == 200 for i in range(2)),
+               "the failure domain is used again")
+    eventually(lambda: call(fleet.entry_address(0), "POST", *job_request(801))[0] == 200,
+               "the fleet serves jobs after an evacuation")
+
+
 def check_reload(fleet):
     settings, log = (fleet.folder / f"agent-0.{kind}" for kind in ("yaml", "log"))
     text = settings.read_text(encoding="utf-8")
@@ -406,4 +438,4 @@
 if __name__ == "__main__":
     run_checks((check_without_faults, check_flood, check_lost_answers, check_stalled_worker,
                 check_entry_killed, check_agent_killed, check_configuration, check_odd_input,
-                check_reload, check_status, check_graceful_stop, check_drain, check_logs))
+                check_evacuation, check_reload, check_status, check_graceful_stop, check_drain, check_logs))
