agent: a cold worker reports how much slower it is

A failure domain that is used again has cold workers, and cold_remaining_ms was not decoded. While it is above 0, the agent multiplies the reported slowness by a factor learned from the runs of that time. An odd value counts as 0.

--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -6,6 +6,7 @@
 #include "tarragonlock/process/evacuation_relay.hpp"
 #include "tarragonlock/process/service_levels.hpp"
 #include "tarragonlock/process/worker_health.hpp"
+#include "tarragonlock/request/cold_start.hpp"
 #include "tarragonlock/request/leased_job.hpp"
 
 #include <cstdint>
@@ -152,6 +153,8 @@
     std::int64_t start_time_ms = 0;
     /// Increases with each announcement of one worker process.
     std::uint64_t sequence = 0;
+    /// How much longer the worker is slow after its start or an evacuation; 0 when it is not.
+    std::uint32_t cold_remaining_ms = 0;
 };
 
 /// Sends a message to an entry.
@@ -388,6 +391,9 @@
     bool entry_lease_valid(instant now, channel_id channel) const;
     void record_outcome(instant now, const hosted_task& task, task_end_kind kind);
     void update_mean_run_times(const hosted_task& task, instant now);
+    /// @return the mean ratio of run times to the declared ones while the worker is warm.
+    double warm_slowness() const;
+    bool worker_is_cold(instant when) const;
     /// Updates the tasks from a listing of the worker.
     /// @param number  number of the renewal that the listing answers
     void reconcile(instant now, std::uint64_t number, const run_listing& listing);
@@ -463,6 +469,7 @@
     double mean_run_ms_ = 200.0;
     double mean_actual_ms_ = 0.0;
     double mean_declared_ms_ = 0.0;
+    cold_start cold_start_;
     worker_health health_;
     service_levels levels_;
     configuration_relay configuration_;
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -248,10 +248,27 @@
     mean_run_ms_ += weight * (elapsed_ms - mean_run_ms_);
     if (task.declared_ms == 0)
         return;
+    if (worker_is_cold(task.started_at))
+    {
+        cold_start_.record(elapsed_ms / (task.declared_ms * warm_slowness()));
+        return;
+    }
     mean_actual_ms_ += weight * (elapsed_ms - mean_actual_ms_);
     mean_declared_ms_ += weight * (task.declared_ms - mean_declared_ms_);
 }
 
+double task_host::warm_slowness() const
+{
+    return mean_declared_ms_ > 0.0 ? std::clamp(mean_actual_ms_ / mean_declared_ms_, 0.1, 20.0)
+                                   : 1.0;
+}
+
+bool task_host::worker_is_cold(instant when) const
+{
+    return worker_ && worker_->cold_remaining_ms > 0 &&
+           when < announced_at_ + milliseconds(worker_->cold_remaining_ms);
+}
+
 bool task_host::accepting(instant now) const
 {
     return worker_ && worker_->accepting && !draining_ && !in_evacuated_domain() &&
@@ -658,9 +675,8 @@
                 task.priority, reported_priority_count - 1)) += task.demand.cpu_millis;
     }
     report.mean_run_ms = static_cast<std::uint32_t>(mean_run_ms_);
-    if (mean_declared_ms_ > 0.0)
-        report.slowness_millis = static_cast<std::uint32_t>(
-            std::clamp(mean_actual_ms_ / mean_declared_ms_, 0.1, 20.0) * 1000.0);
+    const auto cold_factor = worker_is_cold(now) ? cold_start_.factor() : 1.0;
+    report.slowness_millis = static_cast<std::uint32_t>(warm_slowness() * cold_factor * 1000.0);
     report.condition = condition(now);
     return report;
 }
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -155,4 +155,20 @@
         BOOST_TEST(!format->evacuated_domain(other), other);
 }
 
+BOOST_AUTO_TEST_CASE(the_time_for_which_a_worker_is_cold_is_decoded)
+{
+    const auto format = platform::make_announcement_format();
+    const std::string valid = valid_announcement;
+    for (const auto& [text, expected] : std::vector<std::pair<std::string, std::uint32_t>>{
+             {"1500", 1500}, {"0", 0}, {"-5", 0}, {"\"7\"", 0}, {"1e300", 600'000}})
+    {
+        auto changed = valid;
+        changed.replace(changed.find(R"("seq":4)"), 7, R"("seq":4,"cold_remaining_ms":)" + text);
+        const auto worker = format->decode(announcement_request(changed));
+        BOOST_REQUIRE(worker.has_value());
+        BOOST_TEST(worker.value().cold_remaining_ms == expected);
+    }
+    BOOST_TEST(format->decode(announcement_request(valid)).value().cold_remaining_ms == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -922,4 +922,19 @@
     BOOST_TEST(!informed.contains(entry_a));
 }
 
+/// Guards against a failure domain of cold workers that gets as much work as when they were warm.
+BOOST_AUTO_TEST_CASE(a_cold_worker_reports_that_it_is_slower)
+{
+    fixture f;
+    f.advance(milliseconds(500), {entry_a, entry_b});
+    BOOST_TEST(f.last_report.slowness_millis == 1000U);
+    auto announced = f.announcement(first_start_time_ms);
+    announced.cold_remaining_ms = 2000;
+    f.host->on_announcement(f.now, announced);
+    f.advance(milliseconds(600), {entry_a, entry_b});
+    BOOST_TEST(f.last_report.slowness_millis > 1000U);
+    f.advance(milliseconds(2000), {entry_a, entry_b});
+    BOOST_TEST(f.last_report.slowness_millis == 1000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
