connection: one budget for everything that clients make a process hold

Change: connection_budget decides, without sockets, which connection is closed when all hold too much: the greatest product of bytes held and time without progress, never one whose whole request is served. connection_gate applies it at all doors of leased entries and agents: callers, readiness (with connections of its own), announcements, metrics and channels before their first frame. Sessions read by progress, count fields, take bodies as they arrive. JSON is counted before it is decoded, steps and tasks of a job are bounded, and a job without room is refused as not run. New settings memory_mb and max_fds, filled from the deployment; limits of the operators' configuration are used. Not run yet: unit tests of this state.

--- a/include/tarragonlock/process/leased_settings.hpp
+++ b/include/tarragonlock/process/leased_settings.hpp
@@ -32,6 +32,10 @@
     std::uint32_t grace_s = 0;
     std::uint32_t max_body_bytes = 0;
     double remote_data_factor = 1.0;
+    /// Memory of the host for this process, in MiB.
+    std::uint32_t memory_mb = 0;
+    /// Limit of open descriptors of this process.
+    std::uint32_t max_fds = 0;
     log_settings log;
 
     static result<leased_entry_settings> parse(const std::string& text, const std::string& file,
@@ -59,6 +63,8 @@
     std::uint32_t execution_lease_ms = 0;
     std::uint32_t announcement_lifetime_ms = 0;
     std::uint32_t grace_s = 0;
+    std::uint32_t memory_mb = 0;
+    std::uint32_t max_fds = 0;
     log_settings log;
 
     static result<leased_agent_settings> parse(const std::string& text, const std::string& file,
--- a/include/tarragonlock/request/leased_job.hpp
+++ b/include/tarragonlock/request/leased_job.hpp
@@ -73,6 +73,8 @@
     /// Time for which the request may have waited to be read, which counts against deadline_ms.
     duration unread_for{};
 
+    /// @return estimate of the memory that the job and its tasks occupy while it is in progress.
+    std::uint64_t memory_bytes() const;
     friend bool operator==(const leased_job_request&, const leased_job_request&) = default;
 };
 
--- a/include/tarragonlock/version/route_table.hpp
+++ b/include/tarragonlock/version/route_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragonlock/version/client_limits.hpp"
 #include "tarragonlock/version/selector.hpp"
 
 #include <cstdint>
@@ -36,13 +37,14 @@
 {
 public:
     route_table() = default;
-    route_table(std::uint64_t version, std::vector<queue_rule> rules);
+    route_table(std::uint64_t version, std::vector<queue_rule> rules, client_limits limits = {});
 
     /// @param host  host of the request, without its port
     /// @return the rule with the longest matching prefix, or nullptr.
     const queue_rule* find(std::string_view host, std::string_view path) const;
     std::uint64_t version() const { return version_; }
     const std::vector<queue_rule>& rules() const { return rules_; }
+    const client_limits& limits() const { return limits_; }
 
     friend bool operator==(const route_table&, const route_table&) = default;
 
@@ -50,6 +52,7 @@
     std::uint64_t version_ = 0;
     /// Longest prefix first.
     std::vector<queue_rule> rules_;
+    client_limits limits_;
 };
 
 } // namespace tarragonlock
--- a/src/connection/frame_channel.cpp
+++ b/src/connection/frame_channel.cpp
@@ -6,11 +6,13 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
 #include <cstring>
 #include <map>
+#include <optional>
 
 namespace tarragonlock
 {
@@ -24,6 +26,10 @@
 
 /// Longest frame that is accepted, in bytes.
 constexpr std::uint32_t max_frame_bytes = 4U << 20U;
+/// Longest first frame of an accepted channel, in bytes: an agent that reports its worker.
+constexpr std::uint32_t max_first_frame_bytes = 512U << 10U;
+/// Time after which channels are accepted again when the system has no descriptor for one.
+constexpr duration accept_pause = std::chrono::milliseconds(50);
 /// Bytes that may be queued for a peer that does not read; with more the channel is closed.
 constexpr std::size_t max_pending_bytes = 8U << 20U;
 /// Largest number of bytes read from the socket at once.
@@ -42,10 +48,13 @@
 
     void connect(const tcp::endpoint& to);
     void start();
+    /// Starts a channel that the peer has opened.
+    void start_accepted();
     void queue(lease_message body);
     void close();
 
 private:
+    void account();
     void read();
     void parse_frames();
     void flush();
@@ -63,13 +72,19 @@
     bool connected_ = false;
     bool flush_posted_ = false;
     bool closed_ = false;
+    /// Set for accepted channels.
+    std::optional<connection_gate::connection> client_;
+    bool has_frame_ = false;
 };
 
 class asio_frame_channels : public frame_channels
 {
 public:
-    asio_frame_channels(asio::io_context& loop, handlers events)
-        : loop_(loop), events_(std::move(events)), acceptor_(loop)
+    asio_frame_channels(asio::io_context& loop, handlers events,
+                        std::shared_ptr<connection_gate> gate)
+        : loop_(loop), events_(std::move(events)),
+          gate_(gate ? std::move(gate) : std::make_shared<connection_gate>(connection_limits{})),
+          acceptor_(loop), accept_timer_(loop)
     {
     }
 
@@ -121,6 +136,7 @@
 
     asio::io_context& loop() { return loop_; }
     const handlers& events() const { return events_; }
+    connection_gate& gate() { return *gate_; }
 
 private:
     void accept()
@@ -130,22 +146,32 @@
             {
                 if (error == asio::error::operation_aborted)
                     return;
-                if (error)
-                    log_event(log_level::warn, "accept_failed", {{"error", error.message()}});
-                else
+                if (!error)
                 {
                     const auto id = ++last_id_;
                     const auto opened = std::make_shared<tcp_channel>(*this, id, std::move(socket));
                     open_channels_[id] = opened;
-                    opened->start();
+                    opened->start_accepted();
+                    accept();
+                    return;
                 }
-                accept();
+                log_event(log_level::warn, "accept_failed", {{"error", error.message()}});
+                // Without a pause, a lack of descriptors would repeat the failure at once.
+                accept_timer_.expires_after(accept_pause);
+                accept_timer_.async_wait(
+                    [this](error_code stopped)
+                    {
+                        if (!stopped)
+                            accept();
+                    });
             });
     }
 
     asio::io_context& loop_;
     handlers events_;
+    std::shared_ptr<connection_gate> gate_;
     tcp::acceptor acceptor_;
+    asio::steady_timer accept_timer_;
     std::map<channel, std::shared_ptr<tcp_channel>> open_channels_;
     channel last_id_ = 0;
 };
@@ -172,6 +198,38 @@
     read();
 }
 
+void tcp_channel::start_accepted()
+{
+    client_ = owner_.gate().open(
+        [this, weak = weak_from_this()](refusal_cause)
+        {
+            // Not at once, since a handler of another connection may be in progress.
+            asio::post(owner_.loop(),
+                       [weak]
+                       {
+                           if (const auto self = weak.lock())
+                               self->fail("too many connections or bytes of clients");
+                       });
+        });
+    if (owner_.gate().is_open(*client_))
+        start();
+}
+
+/// A peer that has sent a whole frame is one of the system's processes, and keeps its channel.
+void tcp_channel::account()
+{
+    if (!client_ || closed_)
+        return;
+    if (has_frame_)
+        owner_.gate().update(*client_, connection_phase::serving, 0);
+    else
+    {
+        owner_.gate().on_progress(*client_);
+        owner_.gate().update(*client_, connection_phase::receiving,
+                             sizeof(*this) + read_buffer_.capacity());
+    }
+}
+
 void tcp_channel::read()
 {
     if (closed_)
@@ -188,6 +246,7 @@
                                 }
                                 self->read_buffer_.append(self->chunk_.data(), bytes);
                                 self->parse_frames();
+                                self->account();
                                 self->read();
                             });
 }
@@ -199,7 +258,7 @@
     while (!closed_ && read_buffer_.size() - consumed >= sizeof(size))
     {
         std::memcpy(&size, read_buffer_.data() + consumed, sizeof(size));
-        if (size > max_frame_bytes)
+        if (size > (client_ && !has_frame_ ? max_first_frame_bytes : max_frame_bytes))
         {
             fail("frame too long");
             return;
@@ -215,6 +274,7 @@
             fail("malformed frame");
             return;
         }
+        has_frame_ = true;
         // The frame may be half applied, and only a new channel restores a consistent state.
         if (!guarded_call("frame",
                           [&] { owner_.events().on_frame(id_, std::move(frame).value()); }))
@@ -287,6 +347,8 @@
 void tcp_channel::close()
 {
     closed_ = true;
+    if (client_)
+        owner_.gate().close(*client_);
     // Closing with a reset discards data that the peer has not read, so that no outdated message
     // reaches it later.
     error_code ignored; // The channel is closed in any case.
@@ -296,9 +358,10 @@
 
 } // namespace
 
-std::unique_ptr<frame_channels> frame_channels::create(asio::io_context& loop, handlers events)
+std::unique_ptr<frame_channels> frame_channels::create(asio::io_context& loop, handlers events,
+                                                       std::shared_ptr<connection_gate> gate)
 {
-    return std::make_unique<asio_frame_channels>(loop, std::move(events));
+    return std::make_unique<asio_frame_channels>(loop, std::move(events), std::move(gate));
 }
 
 } // namespace tarragonlock
--- a/src/connection/frame_channel.hpp
+++ b/src/connection/frame_channel.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/connection_gate.hpp"
 #include "tarragonlock/common/result.hpp"
 #include "tarragonlock/connection/lease_message.hpp"
 
@@ -27,7 +28,11 @@
         std::function<void(channel, lease_frame)> on_frame;
     };
 
-    static std::unique_ptr<frame_channels> create(boost::asio::io_context& loop, handlers events);
+    /// @param gate  budget of the process; counts accepted channels, and closes them before their
+    ///              first whole frame as it does with other connections; without one the channels
+    ///              have their own
+    static std::unique_ptr<frame_channels> create(boost::asio::io_context& loop, handlers events,
+                                                  std::shared_ptr<connection_gate> gate = nullptr);
     virtual ~frame_channels() = default;
     frame_channels() = default;
     frame_channels(const frame_channels&) = delete;
--- a/src/connection/loop_http_server.cpp
+++ b/src/connection/loop_http_server.cpp
@@ -1,18 +1,16 @@
 #include "connection/loop_http_server.hpp"
 
 #include "common/guarded_call.hpp"
+#include "connection/http_session.hpp"
 #include "connection/loop_socket.hpp"
 #include "tarragonlock/common/log.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/asio/steady_timer.hpp>
 
-#include <sys/socket.h>
-
-#include <cerrno>
+#include <algorithm>
 #include <map>
-#include <optional>
+#include <set>
 
 namespace tarragonlock
 {
@@ -21,58 +19,40 @@
 {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 using error_code = boost::system::error_code;
 
-class server;
+/// Longest header when the operators set no limit, in bytes.
+constexpr std::uint32_t default_header_bytes = 16U << 10U;
+constexpr std::uint32_t max_header_bytes = 64U << 10U;
+constexpr std::uint64_t max_body_bytes = 6U << 20U;
+constexpr duration default_header_interval = std::chrono::milliseconds(3000);
+constexpr duration sweep_interval = std::chrono::milliseconds(500);
+/// Time after which connections are accepted again when the system has no descriptor for one.
+constexpr duration accept_pause = std::chrono::milliseconds(50);
 
-class session : public std::enable_shared_from_this<session>
-{
-public:
-    session(server& owner, tcp::socket socket) : owner_(owner), socket_(std::move(socket)) {}
-
-    void read();
-    void respond(const http_response& reply, bool close_connection);
-
-private:
-    void on_read(error_code error);
-    /// What can be read from a connection without waiting.
-    enum class readable_input : std::uint8_t
-    {
-        none,
-        data,
-        end ///< the client has closed or reset the connection
-    };
-
-    readable_input peek();
-    void watch_for_close();
-    void close();
-
-    server& owner_;
-    tcp::socket socket_;
-    boost::beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
-    http::response<http::string_body> response_;
-    http_request_id request_id_ = 0;
-    bool awaiting_response_ = false;
-};
-
-class server : public loop_http_server
+class server : public loop_http_server, private http_session_owner
 {
 public:
     server(asio::io_context& loop, options settings, request_handler on_request,
            disconnect_handler on_disconnect)
         : settings_(std::move(settings)), on_request_(std::move(on_request)),
-          on_disconnect_(std::move(on_disconnect)), acceptor_(loop)
+          on_disconnect_(std::move(on_disconnect)), acceptor_(loop), accept_timer_(loop),
+          sweep_timer_(loop), configured_body_bytes_(settings_.max_body_bytes)
     {
+        if (!settings_.gate)
+            settings_.gate = std::make_shared<connection_gate>(connection_limits{});
     }
 
     result<void> listen()
     {
         const auto listening = listen_at(acceptor_, settings_.listen);
         if (listening)
+        {
             accept();
+            swept_at_ = process_clock::now();
+            sweep();
+        }
         return listening;
     }
 
@@ -87,30 +67,59 @@
     }
 
     void close_after_responses() override { closing_ = true; }
-    std::size_t connections() const override { return open_connections_; }
+    std::size_t connections() const override { return sessions_.size(); }
+
+    bool reserve(http_request_id request, std::uint64_t bytes) override
+    {
+        const auto found = pending_requests_.find(request);
+        return found == pending_requests_.end() || found->second->reserve(bytes);
+    }
 
-    http_request_id register_request(const std::shared_ptr<session>& from)
+    void set_limits(const client_limits& limits) override
+    {
+        settings_.max_body_bytes =
+            limits.max_body_bytes > 0
+                ? std::min<std::uint64_t>(limits.max_body_bytes, max_body_bytes)
+                : configured_body_bytes_;
+        header_bytes_ = limits.max_header_bytes > 0
+                            ? std::min(limits.max_header_bytes, max_header_bytes)
+                            : default_header_bytes;
+        header_interval_ = limits.header_timeout_ms > 0
+                               ? std::chrono::milliseconds(limits.header_timeout_ms)
+                               : default_header_interval;
+        idle_timeout_ = std::chrono::milliseconds(limits.idle_timeout_ms);
+    }
+
+private:
+    http_request_id register_request(const std::shared_ptr<http_session>& from) override
     {
         pending_requests_[++last_request_id_] = from;
         return last_request_id_;
     }
 
-    void handle(http_request_id id, http_request request)
+    void handle(http_request_id id, http_request request) override
     {
         if (!guarded_call("request", [&] { on_request_(id, std::move(request)); }))
             respond(id, {500, "", "", 0});
     }
 
-    void session_disconnected(http_request_id request)
+    void session_disconnected(http_request_id request) override
     {
         if (pending_requests_.erase(request) > 0 && on_disconnect_)
             guarded_call("disconnect", [&] { on_disconnect_(request); });
     }
 
-    void session_closed() { --open_connections_; }
-    const options& settings() const { return settings_; }
+    void session_closed(const std::shared_ptr<http_session>& closed) override
+    {
+        sessions_.erase(closed);
+    }
+    const options& settings() const override { return settings_; }
+    connection_gate& gate() override { return *settings_.gate; }
+    std::uint32_t header_bytes() const override { return header_bytes_; }
+    duration header_interval() const override { return header_interval_; }
+    duration idle_timeout() const override { return idle_timeout_; }
+    instant running_time() const override { return running_time_; }
 
-private:
     void accept()
     {
         acceptor_.async_accept(
@@ -118,15 +127,44 @@
             {
                 if (error == asio::error::operation_aborted)
                     return;
-                if (error)
-                    log_event(log_level::warn, "accept_failed", {{"error", error.message()}});
-                else
+                if (!error)
                 {
                     set_connection_options(socket);
-                    ++open_connections_;
-                    std::make_shared<session>(*this, std::move(socket))->read();
+                    const auto opened = std::make_shared<http_session>(
+                        static_cast<http_session_owner&>(*this), std::move(socket));
+                    sessions_.insert(opened);
+                    opened->start();
+                    accept();
+                    return;
                 }
-                accept();
+                log_event(log_level::warn, "accept_failed", {{"error", error.message()}});
+                // Without a pause, a lack of descriptors would repeat the failure at once.
+                accept_timer_.expires_after(accept_pause);
+                accept_timer_.async_wait(
+                    [this](error_code stopped)
+                    {
+                        if (!stopped)
+                            accept();
+                    });
+            });
+    }
+
+    void sweep()
+    {
+        sweep_timer_.expires_after(sweep_interval);
+        sweep_timer_.async_wait(
+            [this](error_code stopped)
+            {
+                if (stopped)
+                    return;
+                const auto now = process_clock::now();
+                running_time_ += std::min<duration>(now - swept_at_, 2 * sweep_interval);
+                swept_at_ = now;
+                const std::vector<std::shared_ptr<http_session>> open(sessions_.begin(),
+                                                                      sessions_.end());
+                for (const auto& each : open)
+                    each->check_progress(running_time_);
+                sweep();
             });
     }
 
@@ -134,124 +172,20 @@
     request_handler on_request_;
     disconnect_handler on_disconnect_;
     tcp::acceptor acceptor_;
-    std::map<http_request_id, std::shared_ptr<session>> pending_requests_;
+    asio::steady_timer accept_timer_;
+    asio::steady_timer sweep_timer_;
+    std::uint64_t configured_body_bytes_;
+    std::uint32_t header_bytes_ = default_header_bytes;
+    duration header_interval_ = default_header_interval;
+    duration idle_timeout_{};
+    instant swept_at_;
+    instant running_time_;
+    std::set<std::shared_ptr<http_session>> sessions_;
+    std::map<http_request_id, std::shared_ptr<http_session>> pending_requests_;
     http_request_id last_request_id_ = 0;
-    std::size_t open_connections_ = 0;
     bool closing_ = false;
 };
 
-void session::read()
-{
-    parser_.emplace();
-    parser_->body_limit(owner_.settings().max_body_bytes);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code error, std::size_t)
-                     { self->on_read(error); });
-}
-
-void session::on_read(error_code error)
-{
-    if (error == http::error::body_limit)
-    {
-        http_response too_long;
-        too_long.status = 413;
-        respond(too_long, true);
-        return;
-    }
-    if (error)
-    {
-        close();
-        return;
-    }
-    auto message = parser_->release();
-    http_request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    const auto host = message[http::field::host];
-    request.host = std::string(host.substr(0, host.find(':')));
-    if (!owner_.settings().deadline_header.empty())
-        request.deadline_header = std::string(message[owner_.settings().deadline_header]);
-    request.body = std::move(message.body());
-    request.client_disconnected = peek() == readable_input::end;
-    response_ = {};
-    response_.keep_alive(message.keep_alive());
-    request_id_ = owner_.register_request(shared_from_this());
-    awaiting_response_ = true;
-    const auto id = request_id_;
-    owner_.handle(id, std::move(request));
-    if (awaiting_response_)
-        watch_for_close();
-}
-
-session::readable_input session::peek()
-{
-    char next = 0;
-    const auto bytes = ::recv(socket_.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (bytes > 0)
-        return readable_input::data;
-    const bool would_block = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
-    return bytes < 0 && would_block ? readable_input::none : readable_input::end;
-}
-
-/// Detects that the client closes the connection before the response, so that the tasks of its job
-/// can be stopped.
-void session::watch_for_close()
-{
-    socket_.async_wait(tcp::socket::wait_read,
-                       [self = shared_from_this(), id = request_id_](error_code error)
-                       {
-                           if (!self->awaiting_response_ || self->request_id_ != id)
-                               return;
-                           const auto input = error ? readable_input::end : self->peek();
-                           if (input == readable_input::none)
-                               self->watch_for_close();
-                           // With more data, the client has sent a further request and has not
-                           // disconnected.
-                           if (input != readable_input::end)
-                               return;
-                           self->awaiting_response_ = false;
-                           self->owner_.session_disconnected(id);
-                           self->close();
-                       });
-}
-
-void session::respond(const http_response& reply, bool close_connection)
-{
-    awaiting_response_ = false;
-    response_.version(11);
-    response_.result(reply.status);
-    if (!reply.content_type.empty() && !reply.body.empty())
-        response_.set(http::field::content_type, reply.content_type);
-    if (reply.retry_after_ms > 0)
-        response_.set(http::field::retry_after,
-                      std::to_string((reply.retry_after_ms + 999) / 1000));
-    response_.body() = reply.body;
-    if (close_connection)
-        response_.keep_alive(false);
-    response_.prepare_payload();
-    http::async_write(socket_, response_,
-                      [self = shared_from_this()](error_code error, std::size_t)
-                      {
-                          if (error || !self->response_.keep_alive())
-                          {
-                              error_code ignored; // The connection is closed in any case.
-                              self->socket_.shutdown(tcp::socket::shutdown_send, ignored);
-                              self->close();
-                              return;
-                          }
-                          self->read();
-                      });
-}
-
-void session::close()
-{
-    if (!socket_.is_open())
-        return;
-    error_code ignored; // The connection is closed in any case.
-    socket_.close(ignored);
-    owner_.session_closed();
-}
-
 } // namespace
 
 result<std::unique_ptr<loop_http_server>> loop_http_server::open(asio::io_context& loop,
--- a/src/connection/loop_http_server.hpp
+++ b/src/connection/loop_http_server.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "connection/connection_gate.hpp"
 #include "tarragonlock/common/result.hpp"
 #include "tarragonlock/connection/http_message.hpp"
+#include "tarragonlock/version/client_limits.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -30,6 +32,10 @@
         std::string deadline_header;
         /// Longest request body; a longer one is rejected with status 413.
         std::uint64_t max_body_bytes = 1U << 20U;
+        /// Budget shared by the doors of a process; without one the server has its own.
+        std::shared_ptr<connection_gate> gate;
+        /// Whether clients may use the reserved connections of the budget.
+        bool is_reserved = false;
     };
     using request_handler = std::function<void(http_request_id, http_request)>;
     using disconnect_handler = std::function<void(http_request_id)>;
@@ -52,6 +58,11 @@
     /// Makes all further responses close their connection (Connection: close).
     virtual void close_after_responses() = 0;
     virtual std::size_t connections() const = 0;
+    /// Counts memory that a request occupies until its response.
+    /// @return whether the budget of the process has room for it; if not, refuse the request
+    virtual bool reserve(http_request_id request, std::uint64_t bytes) = 0;
+    /// Applies the operators' limits where they set any, from the next request on.
+    virtual void set_limits(const client_limits& limits) = 0;
 };
 
 } // namespace tarragonlock
--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -44,6 +44,8 @@
                                          const leased_agent_settings& settings,
                                          leased_agent_protocols protocols)
     : loop_(loop), settings_(settings), protocols_(std::move(protocols)),
+      gate_(std::make_shared<connection_gate>(
+          connection_limits::of_host(settings.memory_mb, settings.max_fds))),
       host_({settings.name, static_cast<std::uint64_t>(wall_clock_now().count()),
              milliseconds(settings.execution_lease_ms), milliseconds(settings.caller_resend_ms),
              milliseconds(settings.announcement_lifetime_ms)}),
@@ -53,22 +55,23 @@
                       [this] { reload_settings(settings_); }, [this] { return metrics(); },
                       [this] { return !host_.idle(); }, busy_tick_interval})
 {
-    channels_ =
-        frame_channels::create(loop, {[this](channel_id channel)
-                                      {
-                                          for (auto& [address, entry] : entries_)
-                                              entry.open = entry.open || entry.channel == channel;
-                                          host_.on_channel_open(process_clock::now(), channel);
-                                          execute_effects();
-                                      },
-                                      [this](channel_id channel) { on_channel_lost(channel); },
-                                      [this](channel_id channel, const lease_frame& frame)
-                                      {
-                                          const auto now = process_clock::now();
-                                          for (const auto& body : frame)
-                                              host_.on_message(now, channel, body);
-                                          execute_effects();
-                                      }});
+    channels_ = frame_channels::create(loop,
+                                       {[this](channel_id channel)
+                                        {
+                                            for (auto& [address, entry] : entries_)
+                                                entry.open = entry.open || entry.channel == channel;
+                                            host_.on_channel_open(process_clock::now(), channel);
+                                            execute_effects();
+                                        },
+                                        [this](channel_id channel) { on_channel_lost(channel); },
+                                        [this](channel_id channel, const lease_frame& frame)
+                                        {
+                                            const auto now = process_clock::now();
+                                            for (const auto& body : frame)
+                                                host_.on_message(now, channel, body);
+                                            execute_effects();
+                                        }},
+                                       gate_);
     for (const auto& hint : settings_.entry_hints)
     {
         const auto host = hint.substr(0, hint.find(':'));
@@ -90,7 +93,7 @@
 result<void> leased_agent_daemon::open()
 {
     auto opened = loop_http_server::open(
-        loop_, {settings_.listen_worker, "", max_announcement_bytes},
+        loop_, {settings_.listen_worker, "", max_announcement_bytes, gate_},
         [this](http_request_id id, const http_request& request)
         { on_announcement_request(id, request); },
         nullptr);
@@ -99,8 +102,8 @@
     announcements_ = std::move(opened).value();
     if (settings_.metrics_port > 0)
     {
-        const auto served =
-            process_.serve_metrics(settings_.host + ":" + std::to_string(settings_.metrics_port));
+        const auto served = process_.serve_metrics(
+            settings_.host + ":" + std::to_string(settings_.metrics_port), gate_);
         if (!served)
             return served.error();
     }
@@ -286,7 +289,7 @@
            gauge_text("tasks_running", host_.running()) +
            counter_text("log_lines_dropped_total", dropped_log_line_count()) +
            counter_text("unexpected_errors_total", unexpected_error_count()) +
-           host_.levels().metrics();
+           client_refusals_text(*gate_) + host_.levels().metrics();
 }
 
 } // namespace tarragonlock
--- a/src/process/leased_agent_daemon.hpp
+++ b/src/process/leased_agent_daemon.hpp
@@ -69,6 +69,8 @@
     boost::asio::io_context& loop_;
     leased_agent_settings settings_;
     leased_agent_protocols protocols_;
+    /// Bounds what connections of clients hold at all doors.
+    std::shared_ptr<connection_gate> gate_;
     task_host host_;
     loop_store_client store_;
     loop_process process_;
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -23,6 +23,8 @@
 constexpr auto admission_margin = milliseconds(200);
 /// Time between ticks while jobs are in progress.
 constexpr auto busy_tick_interval = milliseconds(20);
+/// Longest announcement that is read before it is refused; as at agents.
+constexpr std::uint64_t max_announcement_bytes = 64U << 10U;
 
 } // namespace
 
@@ -30,6 +32,8 @@
                                          const leased_entry_settings& settings,
                                          leased_entry_protocols protocols)
     : loop_(loop), settings_(settings), protocols_(std::move(protocols)),
+      gate_(std::make_shared<connection_gate>(
+          connection_limits::of_host(settings.memory_mb, settings.max_fds))),
       dispatcher_(process_clock::now(),
                   {settings.name, settings.failure_domain, milliseconds(settings.caller_resend_ms),
                    settings.remote_data_factor}),
@@ -46,19 +50,21 @@
                       }})
 {
     channels_ = frame_channels::create(
-        loop, {[this](channel_id channel)
-               {
-                   dispatcher_.on_channel_open(process_.now(), channel);
-                   if (const auto version = configuration_.current().version; version > 0)
-                       channels_->send(channel, configuration_notice{version});
-               },
-               [this](channel_id channel)
-               {
-                   dispatcher_.on_channel_lost(process_.now(), channel);
-                   configuration_.on_channel_lost(channel);
-                   apply_effects();
-               },
-               [this](channel_id channel, const lease_frame& frame) { on_frame(channel, frame); }});
+        loop,
+        {[this](channel_id channel)
+         {
+             dispatcher_.on_channel_open(process_.now(), channel);
+             if (const auto version = configuration_.current().version; version > 0)
+                 channels_->send(channel, configuration_notice{version});
+         },
+         [this](channel_id channel)
+         {
+             dispatcher_.on_channel_lost(process_.now(), channel);
+             configuration_.on_channel_lost(channel);
+             apply_effects();
+         },
+         [this](channel_id channel, const lease_frame& frame) { on_frame(channel, frame); }},
+        gate_);
 }
 
 result<std::unique_ptr<leased_entry_daemon>>
@@ -76,7 +82,8 @@
 {
     auto callers = loop_http_server::open(
         loop_,
-        {settings_.listen_callers, protocols_.callers->deadline_header(), settings_.max_body_bytes},
+        {settings_.listen_callers, protocols_.callers->deadline_header(), settings_.max_body_bytes,
+         gate_},
         [this](http_request_id id, const http_request& request) { on_request(id, request); },
         [this](http_request_id id)
         {
@@ -87,7 +94,7 @@
         return callers.error();
     caller_server_ = std::move(callers).value();
     auto readiness = loop_http_server::open(
-        loop_, {settings_.listen_readiness, "", 4096},
+        loop_, {settings_.listen_readiness, "", 4096, gate_, true},
         [this](http_request_id id, const http_request&) {
             readiness_server_->respond(id, {ready() ? 200U : 503U, "", "", 0});
         },
@@ -99,7 +106,7 @@
     {
         // Workers announce themselves to the agent on their own host, not here.
         auto opened = loop_http_server::open(
-            loop_, {settings_.listen_announcements, "", settings_.max_body_bytes},
+            loop_, {settings_.listen_announcements, "", max_announcement_bytes, gate_},
             [this](http_request_id id, const http_request&) {
                 announcement_server_->respond(id, {503, "", "", 0});
             },
@@ -113,8 +120,8 @@
         return listening.error();
     if (settings_.metrics_port > 0)
     {
-        const auto served =
-            process_.serve_metrics(settings_.host + ":" + std::to_string(settings_.metrics_port));
+        const auto served = process_.serve_metrics(
+            settings_.host + ":" + std::to_string(settings_.metrics_port), gate_);
         if (!served)
             return served.error();
     }
@@ -191,6 +198,12 @@
                     : protocol.malformed());
         return;
     }
+    if (!caller_server_->reserve(id, job.value().memory_bytes()))
+    {
+        caller_server_->respond(
+            id, protocol.job_ended({leased_outcome::refused, leased_reason::overloaded, 1000}));
+        return;
+    }
     const auto allowed_time = leased_dispatcher::allowed_response_time(job.value(), rule);
     if (stopping_ && now + allowed_time + admission_margin > final_answer_time())
     {
@@ -235,6 +248,7 @@
               {{"version", static_cast<std::int64_t>(decoded.value().version())},
                {"before", static_cast<std::int64_t>(routes_.version())}});
     routes_ = std::move(decoded).value();
+    caller_server_->set_limits(routes_.limits());
     configuration_.store_if_newer(process_.now(), {routes_.version(), document});
     for (const auto channel : dispatcher_.channels())
         channels_->send(channel, configuration_notice{routes_.version()});
@@ -336,7 +350,7 @@
            gauge_text("agents", dispatcher_.agent_count()) +
            gauge_text("workers_accepting", dispatcher_.accepting_worker_count()) +
            gauge_text("caller_connections", caller_server_->connections()) +
-           gauge_text("configuration_version", routes_.version()) +
+           client_refusals_text(*gate_) + gauge_text("configuration_version", routes_.version()) +
            counter_text("log_lines_dropped_total", dropped_log_line_count()) +
            counter_text("unexpected_errors_total", unexpected_error_count()) +
            dispatcher_.levels().metrics();
--- a/src/process/leased_entry_daemon.hpp
+++ b/src/process/leased_entry_daemon.hpp
@@ -63,6 +63,8 @@
     boost::asio::io_context& loop_;
     leased_entry_settings settings_;
     leased_entry_protocols protocols_;
+    /// Bounds what connections of clients hold at all doors.
+    std::shared_ptr<connection_gate> gate_;
     leased_dispatcher dispatcher_;
     loop_store_client store_;
     loop_process process_;
--- a/src/process/leased_settings.cpp
+++ b/src/process/leased_settings.cpp
@@ -10,6 +10,9 @@
 {
 
 constexpr std::int64_t max_port = 65'535;
+/// Memory and descriptors of a small host; a deployment's template fills in those of the real one.
+constexpr std::int64_t default_memory_mb = 160;
+constexpr std::int64_t default_max_fds = 4100;
 
 std::string read_optional_address(yaml_reader& reader, std::string_view key)
 {
@@ -33,7 +36,7 @@
     reader.allow_only({"name", "failure_domain", "host", "listen_callers", "listen_readiness",
                        "listen_announcements", "peer_port", "metrics_port", "store",
                        "caller_resend_ms", "grace_s", "max_body_bytes", "remote_data_factor",
-                       "log"});
+                       "memory_mb", "max_fds", "log"});
     leased_entry_settings settings;
     settings.file = file;
     settings.name = reader.required_text("name");
@@ -48,6 +51,8 @@
     settings.caller_resend_ms = read_count(reader, "caller_resend_ms", 1300, 400, 600'000);
     settings.grace_s = read_count(reader, "grace_s", 6, 1, 600);
     settings.max_body_bytes = read_count(reader, "max_body_bytes", 1'048'576, 1024, 6'291'456);
+    settings.memory_mb = read_count(reader, "memory_mb", default_memory_mb, 32, 1'048'576);
+    settings.max_fds = read_count(reader, "max_fds", default_max_fds, 240, 1'048'576);
     settings.remote_data_factor = reader.number("remote_data_factor", 1.5, 1.0, 100.0);
     settings.log = read_log(reader);
     if (errors.size() != initial_error_count)
@@ -66,7 +71,8 @@
     yaml_reader reader(*root, file, "", errors);
     reader.allow_only({"name", "failure_domain", "host", "listen_worker", "peer_port",
                        "metrics_port", "store", "entry_hints", "caller_resend_ms",
-                       "execution_lease_ms", "announcement_lifetime_ms", "grace_s", "log"});
+                       "execution_lease_ms", "announcement_lifetime_ms", "grace_s", "memory_mb",
+                       "max_fds", "log"});
     leased_agent_settings settings;
     settings.file = file;
     settings.name = reader.required_text("name");
@@ -82,6 +88,8 @@
     settings.announcement_lifetime_ms =
         read_count(reader, "announcement_lifetime_ms", 4500, 100, 600'000);
     settings.grace_s = read_count(reader, "grace_s", 6, 1, 600);
+    settings.memory_mb = read_count(reader, "memory_mb", default_memory_mb, 32, 1'048'576);
+    settings.max_fds = read_count(reader, "max_fds", default_max_fds, 240, 1'048'576);
     settings.log = read_log(reader);
     if (settings.execution_lease_ms >= settings.caller_resend_ms)
         reader.report_error("execution_lease_ms", "must be less than caller_resend_ms");
--- a/src/process/loop_process.cpp
+++ b/src/process/loop_process.cpp
@@ -25,10 +25,11 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-result<void> loop_process::serve_metrics(const std::string& address)
+result<void> loop_process::serve_metrics(const std::string& address,
+                                         std::shared_ptr<connection_gate> gate)
 {
     auto opened = loop_http_server::open(
-        loop_, {address, "", 4096},
+        loop_, {address, "", 4096, std::move(gate)},
         [this](http_request_id id, const http_request&) {
             metrics_->respond(id, {200, handlers_.metrics(), "text/plain; version=0.0.4", 0});
         },
--- a/src/process/loop_process.hpp
+++ b/src/process/loop_process.hpp
@@ -42,7 +42,8 @@
 
     /// Serves metrics over HTTP.
     /// @param address  host:port with an IP address
-    result<void> serve_metrics(const std::string& address);
+    /// @param gate     budget of the connections of clients
+    result<void> serve_metrics(const std::string& address, std::shared_ptr<connection_gate> gate);
     /// Runs until stop().
     void run();
     void stop() { loop_.stop(); }
--- a/src/process/metrics_text.cpp
+++ b/src/process/metrics_text.cpp
@@ -28,4 +28,17 @@
     return text;
 }
 
+std::string client_refusals_text(const connection_gate& gate)
+{
+    std::string text;
+    for (std::size_t i = 0; i < refusal_cause_count; ++i)
+    {
+        const auto cause = static_cast<refusal_cause>(i);
+        text += counter_text(std::string("clients_refused_") + name_of(cause) + "_total",
+                             gate.count_of(cause));
+    }
+    return text + gauge_text("client_connections", gate.budget().connections()) +
+           gauge_text("client_bytes", gate.budget().bytes());
+}
+
 } // namespace tarragonlock
--- a/src/process/metrics_text.hpp
+++ b/src/process/metrics_text.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/connection_gate.hpp"
 #include "tarragonlock/connection/message.hpp"
 
 #include <cstdint>
@@ -20,4 +21,8 @@
 /// @param prefix  prefix of the name, for example "agent_"
 std::string message_counts_text(const std::string& prefix, const message_counts& counts);
 
+/// @return refusals of clients by cause, and what their connections hold, in the Prometheus text
+///         format.
+std::string client_refusals_text(const connection_gate& gate);
+
 } // namespace tarragonlock
--- a/src/request/leased_job.cpp
+++ b/src/request/leased_job.cpp
@@ -3,6 +3,23 @@
 namespace tarragonlock
 {
 
+namespace
+{
+
+/// Memory of a task in progress: its state, and its share of messages and indexes.
+constexpr std::uint64_t task_bytes = 64;
+
+} // namespace
+
+std::uint64_t leased_job_request::memory_bytes() const
+{
+    std::uint64_t bytes = sizeof(*this) + id.size() + spec.size();
+    for (const auto& step : steps)
+        bytes += sizeof(step) + step.after.size() * sizeof(step.after[0]) +
+                 step.required_label.size() + step.data_rack.size() + step.task_count * task_bytes;
+    return bytes;
+}
+
 const char* to_string(leased_outcome value)
 {
     switch (value)
--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -5,8 +5,8 @@
 namespace tarragonlock
 {
 
-route_table::route_table(std::uint64_t version, std::vector<queue_rule> rules)
-    : version_(version), rules_(std::move(rules))
+route_table::route_table(std::uint64_t version, std::vector<queue_rule> rules, client_limits limits)
+    : version_(version), rules_(std::move(rules)), limits_(limits)
 {
     std::stable_sort(rules_.begin(), rules_.end(),
                      [](const queue_rule& a, const queue_rule& b)
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -146,4 +146,43 @@
         BOOST_TEST(!format->decode(bad).has_value(), bad);
 }
 
+BOOST_AUTO_TEST_CASE(limits_of_requests_are_decoded)
+{
+    const auto format = platform::make_configuration_format();
+    const std::string start = R"({"version":7,"routes":[],"limits":)";
+    const auto some = format->decode(
+        start + R"({"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000}})");
+    BOOST_REQUIRE(some.has_value());
+    BOOST_TEST((some.value().limits() == client_limits{16'384, 262'144, 3000, 0}));
+    const auto none = format->decode(start + "{}}");
+    BOOST_REQUIRE(none.has_value());
+    BOOST_TEST((none.value().limits() == client_limits{}));
+    BOOST_TEST(!format->decode(start + R"({"max_body_bytes":-1}})").has_value());
+}
+
+/// Load pattern: requests of legal size whose decoded form is many times as large.
+BOOST_AUTO_TEST_CASE(jobs_of_too_many_values_steps_or_tasks_are_rejected)
+{
+    const auto format = platform::make_caller_format();
+    const auto decodes = [&](std::size_t steps, std::size_t tasks, std::size_t values)
+    {
+        std::string body = R"({"spec":"","best_effort":true,"other":[0)";
+        for (std::size_t i = 1; i < values; ++i)
+            body += ",0";
+        body += R"(],"steps":[)";
+        for (std::size_t i = 0; i < steps; ++i)
+            body += (i > 0 ? R"(,{"count":)" : R"({"count":)") + std::to_string(tasks) + "}";
+        http_request request;
+        request.body = body + "]}";
+        return format->decode_job(request, "000000000000000a").has_value();
+    };
+    BOOST_TEST(decodes(1, 10'000, 1));
+    BOOST_TEST(decodes(2, 10'000, 1));
+    BOOST_TEST(!decodes(3, 10'000, 1));
+    BOOST_TEST(decodes(1000, 1, 1));
+    BOOST_TEST(!decodes(1001, 1, 1));
+    BOOST_TEST(decodes(1, 1, 49'000));
+    BOOST_TEST(!decodes(1, 1, 50'000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
