--- a/tests/connection/loop_http_server_test.cpp
+++ b/tests/connection/loop_http_server_test.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <optional>
+#include <vector>
 
 using namespace tarragonlock;
 using boost::asio::ip::tcp;
@@ -84,4 +86,91 @@
         BOOST_TEST(f.request->client_disconnected);
 }
 
+namespace
+{
+
+/// A server with a small budget, and clients that send a request and read what the server answers.
+struct limited_fixture
+{
+    limited_fixture()
+    {
+        auto opened = loop_http_server::open(
+            loop, {"127.0.0.1:" + std::to_string(port + 1), "", 400'000, gate},
+            [this](http_request_id id, const http_request&) { server->respond(id, {200}); },
+            nullptr);
+        BOOST_REQUIRE(opened.has_value());
+        server = std::move(opened).value();
+    }
+
+    std::shared_ptr<tcp::socket> send(const std::string& text)
+    {
+        auto client = std::make_shared<tcp::socket>(loop);
+        client->connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), port + 1));
+        boost::asio::write(*client, boost::asio::buffer(text));
+        client->non_blocking(true);
+        run();
+        return client;
+    }
+
+    void run()
+    {
+        loop.restart();
+        loop.run_for(milliseconds(100));
+    }
+
+    /// @return the first line of the answer; empty when there is none
+    std::string status_line(tcp::socket& client)
+    {
+        for (const auto end = process_clock::now() + milliseconds(2000); process_clock::now() < end;
+             run())
+        {
+            std::array<char, 256> bytes{};
+            boost::system::error_code error;
+            const auto size = client.read_some(boost::asio::buffer(bytes), error);
+            if (error != boost::asio::error::would_block)
+                return std::string(bytes.data(), size)
+                    .substr(0, std::string_view("HTTP/1.1 200").size());
+        }
+        return "";
+    }
+
+    boost::asio::io_context loop;
+    std::shared_ptr<connection_gate> gate =
+        std::make_shared<connection_gate>(connection_limits{500'000, 10, 0});
+    std::unique_ptr<loop_http_server> server;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requests_over_a_limit_are_refused_before_they_are_read)
+{
+    limited_fixture f;
+    const auto long_body = f.send("POST /job HTTP/1.1\r\nContent-Length: 400001\r\n\r\n{");
+    BOOST_TEST(f.status_line(*long_body) == "HTTP/1.1 413");
+    std::string fields;
+    for (int i = 0; i < 200; ++i)
+        fields += "a" + std::to_string(i) + ":\r\n";
+    const auto many_fields = f.send("GET /job HTTP/1.1\r\n" + fields + "\r\n");
+    BOOST_TEST(f.status_line(*many_fields) == "HTTP/1.1 431");
+    f.server->set_limits({0, 1000, 0, 0});
+    const auto longer_than_configured =
+        f.send("POST /job HTTP/1.1\r\nContent-Length: 1001\r\n\r\n{");
+    BOOST_TEST(f.status_line(*longer_than_configured) == "HTTP/1.1 413");
+    BOOST_TEST(f.gate->count_of(refusal_cause::long_body) == 2U);
+    BOOST_TEST(f.gate->count_of(refusal_cause::long_header) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(bodies_that_stop_short_are_closed_and_whole_requests_served)
+{
+    limited_fixture f;
+    const auto start = std::string("POST /job HTTP/1.1\r\nContent-Length: 300000\r\n\r\n");
+    std::vector<std::shared_ptr<tcp::socket>> stopped;
+    for (int i = 0; i < 4; ++i)
+        stopped.push_back(f.send(start + std::string(150'000, 'x')));
+    BOOST_TEST(f.gate->count_of(refusal_cause::memory) > 0U);
+    BOOST_TEST(f.gate->budget().bytes() <= 500'000U);
+    const auto whole = f.send("POST /job HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}");
+    BOOST_TEST(f.status_line(*whole) == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
