--- a/tests/fakes/load_patterns.cpp
+++ b/tests/fakes/load_patterns.cpp
@@ -76,6 +76,14 @@
     stalled.stalled_workers = 3;
     stalled.stalled_at = seconds(8);
     stalled.stalled_for = seconds(5);
+    const auto all_doubled = [](const leased_fleet_options& options, std::size_t stalled_workers)
+    {
+        auto doubled = with_floods(options, {{lookup, 2.0}, {release, 2.0}, {hold, 2.0}});
+        doubled.stalled_workers = stalled_workers;
+        doubled.stalled_at = seconds(7);
+        doubled.stalled_for = seconds(4);
+        return doubled;
+    };
     return {
         {"calm", mixed_fleet(calm_load)},
         {"lookups x1.9", with_floods(small, {{lookup, 1.9}})},
@@ -85,6 +93,8 @@
         {"lookups x1.7, releases x2.5, 4 of 11 lost",
          with_lost_agents(with_floods(small, {{lookup, 1.7}, {release, 2.5}}), 4)},
         {"3 of 11 stand still", stalled},
+        {"all x2, 2 of 11 stand still", all_doubled(small, 2)},
+        {"12 entries, all x2, 6 of 44 stand still", all_doubled(large, 6)},
         {"12 entries, releases x2.5", with_floods(large, {{release, 2.5}})},
         {"12 entries, holds x3", with_floods(large, {{hold, 3.0}})},
         {"12 entries, releases x2.5, 9 of 44 lost",
