agent: runs that their worker's departure would end start elsewhere

A draining worker announces the minimum time until it leaves. It wasn't decoded: tasks that still ran there were placed again only when the worker's lease had expired. The agent now stops a run that can't end before, by its progress, while its task can still end on another worker; request/departure decides. Placements carry the time for which the caller waits (frame version 5). The progress of a run moved into request/run_progress.

--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -103,6 +103,8 @@
     std::uint32_t priority = 0;
     /// Time after receipt within which the tasks may be started.
     std::uint32_t start_within_ms = 0;
+    /// Time after receipt for which the caller waits for the job.
+    std::uint32_t caller_waits_ms = 0;
     std::vector<placed_task> tasks;
     friend bool operator==(const place_tasks&, const place_tasks&) = default;
 };
--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -9,6 +9,7 @@
 #include "tarragonlock/request/worker_forecast.hpp"
 #include "tarragonlock/version/route_table.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -163,6 +164,12 @@
 
         /// @return whether a task may have been given to a worker.
         bool may_have_started() const { return possibly_running_tasks > 0 || ended_runs > 0; }
+        /// @return the time until the caller stops waiting, in milliseconds.
+        std::uint32_t caller_waits_ms(instant now) const
+        {
+            return static_cast<std::uint32_t>(std::max(deadline - now, duration(0)) /
+                                              std::chrono::milliseconds(1));
+        }
     };
 
     struct placement_in_flight
@@ -248,7 +255,8 @@
     /// @return whether every ready task of the job has been placed.
     bool place_job(instant now, active_job& job, const std::vector<worker_forecast>& all,
                    std::vector<worker_forecast>& workers, double utilization, start_mode mode);
-    void send_placements(active_job& job, std::uint32_t step, const task_assignments& assignments);
+    void send_placements(instant now, active_job& job, std::uint32_t step,
+                         const task_assignments& assignments);
     void record_outcome(instant now, const active_job& job, leased_outcome job_outcome);
     /// @return whether each step has a matching worker that accepts tasks or did so recently
     bool has_worker_for(instant now, const leased_job_request& request,
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -6,6 +6,7 @@
 #include "tarragonlock/process/service_levels.hpp"
 #include "tarragonlock/process/worker_health.hpp"
 #include "tarragonlock/request/leased_job.hpp"
+#include "tarragonlock/request/run_progress.hpp"
 
 #include <cstdint>
 #include <map>
@@ -146,6 +147,8 @@
     resource_amount capacity;
     /// Whether the worker accepts new tasks.
     bool accepting = false;
+    /// Minimum time until the worker leaves; empty while it does not announce its departure.
+    std::optional<duration> leaves_after;
     std::int64_t clock_ms = 0;
     /// Start time of the worker process, as Unix time in milliseconds; 0 if not reported.
     std::int64_t start_time_ms = 0;
@@ -184,6 +187,7 @@
     bool stop_stalled_runs = true;
     bool ask_silent_worker = true;
     bool raise_fence_for_renewals = true;
+    bool restart_departing_runs = true;
 };
 
 /// Identity and time limits of the agent. The defaults match the stand-ins used by the tests.
@@ -211,6 +215,8 @@
     std::uint64_t returned = 0;
     std::uint64_t stopped = 0;
     std::uint64_t stalled = 0;
+    /// Runs stopped because their worker leaves before they can end.
+    std::uint64_t departing = 0;
     std::uint64_t unanswered_starts = 0;
     std::uint64_t renewals = 0;
     /// Renewals that brought no listing, because of a timeout, an error or a refusal.
@@ -295,9 +301,9 @@
         std::uint64_t conclusive_renewal = 0;
         /// Whether the start request got no answer and no listing has shown the run since.
         bool in_doubt = false;
-        /// Progress when it last increased, and the worker's clock at that time.
-        std::uint32_t percent_done = 0;
-        std::int64_t last_progress_ms = 0;
+        run_progress progress;
+        /// When the caller stops waiting for the job.
+        instant caller_leaves_at;
         /// Limit for the worker's lease: after this, another entry may run the task.
         instant must_end_by = instant::max();
         /// Whether to report the end to the entry; false once the entry has withdrawn the task.
@@ -384,9 +390,11 @@
     /// @return whether a run is in doubt and no pending renewal will show whether it exists.
     bool needs_immediate_renewal() const;
     void on_run_end(instant now, const run_end& end);
-    /// Stops a run that has made no progress for longer than the stall limit.
+    /// Stops a run that has made no progress for longer than the stall limit, or that can't end
+    /// before its worker leaves while it could elsewhere.
     void check_progress(instant now, hosted_task& task, std::uint32_t percent_done,
                         std::int64_t clock_ms);
+    bool outlives_worker(instant now, const hosted_task& task) const;
     bool accepting(instant now) const;
     /// @return whether the worker has announced itself within the announcement lifetime
     bool announced_recently(instant now) const;
--- a/src/connection/lease_codec.cpp
+++ b/src/connection/lease_codec.cpp
@@ -9,7 +9,7 @@
 {
 
 /// Version of the layout of frames between entries and agents of leased jobs.
-constexpr std::uint8_t lease_frame_version = 4;
+constexpr std::uint8_t lease_frame_version = 5;
 /// Longest frame, in bytes; large enough for a configuration of a megabyte.
 constexpr std::size_t max_frame_bytes = 4U << 20U;
 
@@ -43,7 +43,7 @@
 TARRAGONLOCK_FIELDS(report_preference, v.reduced)
 TARRAGONLOCK_FIELDS(placed_task, v.index, v.attempt)
 TARRAGONLOCK_FIELDS(place_tasks, v.job, v.spec, v.step, v.demand, v.declared_ms, v.priority,
-                    v.start_within_ms, v.tasks)
+                    v.start_within_ms, v.caller_waits_ms, v.tasks)
 TARRAGONLOCK_FIELDS(withdraw_job, v.job)
 TARRAGONLOCK_FIELDS(task_end, v.job, v.step, v.index, v.attempt, checked(v.kind), v.run_ms)
 TARRAGONLOCK_FIELDS(configuration_notice, v.version)
--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -276,6 +276,7 @@
            counter_text("tasks_returned_total", counts.returned) +
            counter_text("tasks_stopped_total", counts.stopped) +
            counter_text("tasks_stalled_total", counts.stalled) +
+           counter_text("tasks_restarted_before_departure_total", counts.departing) +
            counter_text("starts_unanswered_total", counts.unanswered_starts) +
            counter_text("renewals_total", counts.renewals) +
            counter_text("renewals_failed_total", counts.failed_renewals) +
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -337,14 +337,14 @@
                 forecast->reserve(requirements.demand);
         }
         placed_any = placed_any || !assignments.empty();
-        send_placements(job, step, assignments);
+        send_placements(now, job, step, assignments);
     }
     if (placed_any)
         enqueue(now, job);
     return placed_all;
 }
 
-void leased_dispatcher::send_placements(active_job& job, std::uint32_t step,
+void leased_dispatcher::send_placements(instant now, active_job& job, std::uint32_t step,
                                         const task_assignments& assignments)
 {
     const auto& requirements = job.request.steps[step];
@@ -364,8 +364,8 @@
         request.demand = requirements.demand;
         request.declared_ms = requirements.declared_ms;
         request.priority = job.rule.priority;
-        request.start_within_ms =
-            static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(wait).count());
+        request.start_within_ms = static_cast<std::uint32_t>(wait / milliseconds(1));
+        request.caller_waits_ms = job.caller_waits_ms(now);
         for (const auto index : tasks)
         {
             auto& placed = job.steps[step][index];
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -102,6 +102,7 @@
         task.declared_ms = request.declared_ms;
         task.priority = request.priority;
         task.start_by = now + milliseconds(request.start_within_ms);
+        task.caller_leaves_at = now + milliseconds(request.caller_waits_ms);
         // The task may still be running here for another entry, and a second run would overlap it.
         if (!accepting(now) || tasks_.contains(id) || !entry_lease_valid(now, channel))
         {
@@ -358,11 +359,10 @@
     task.confirmed = false;
     task.request_sent_at = now;
     task.started_at = now;
-    task.percent_done = 0;
+    task.progress = {};
     task.in_doubt = false;
     task.request_fence = fence_;
-    const task_id id{task.run.job, task.run.step, task.run.index};
-    last_run_numbers_[id] = {task.run.number, now};
+    last_run_numbers_[{task.run.job, task.run.step, task.run.index}] = {task.run.number, now};
     effects_.emplace_back(start_request{task.run,
                                         options_.mechanisms.send_worker_id ? worker_->id : "",
                                         task.spec, extend_lease(now), fence_});
@@ -412,7 +412,7 @@
     {
     case start_reply::accepted:
         task->state = task_state::running;
-        task->last_progress_ms = clock_ms;
+        task->progress.changed_ms = clock_ms;
         task->confirmed = true;
         task->conclusive_renewal = last_renewal_number_ + 1;
         return;
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -1,6 +1,7 @@
 #include "tarragonlock/process/task_host.hpp"
 
 #include "tarragonlock/common/log.hpp"
+#include "tarragonlock/request/departure.hpp"
 #include "tarragonlock/request/stall_limit.hpp"
 
 #include <algorithm>
@@ -214,11 +215,9 @@
         std::any_of(tasks_.begin(), tasks_.end(),
                     [](const auto& item) { return item.second.state == task_state::stopping; });
     auto wait = duration(0);
-    if (immediate)
-        wait = duration(0);
-    else if (stopping)
+    if (stopping && !immediate)
         wait = stopping_renewal_wait;
-    else if (active && worker_reconciled_)
+    else if (active && worker_reconciled_ && !immediate)
         wait = options_.execution_lease / renewal_wait_divisor;
     ++counters_.renewals;
     last_renewal_sent_at_ = now;
@@ -310,7 +309,7 @@
             task->confirmed = true;
             task->in_doubt = false;
             task->conclusive_renewal = last_renewal_number_ + 1;
-            task->last_progress_ms = listing.clock_ms;
+            task->progress.changed_ms = listing.clock_ms;
         }
         else if (task->state == task_state::running)
             check_progress(now, *task, percent_done, listing.clock_ms);
@@ -334,30 +333,33 @@
 void task_host::check_progress(instant now, hosted_task& task, std::uint32_t percent_done,
                                std::int64_t clock_ms)
 {
-    if (percent_done > task.percent_done)
-    {
-        task.percent_done = percent_done;
-        task.last_progress_ms = clock_ms;
-        return;
-    }
-    // Both times are from the worker's clock, so a late answer does not count as a stall.
-    const auto no_progress_ms = clock_ms - task.last_progress_ms;
-    const auto allowed =
-        std::chrono::duration_cast<milliseconds>(stall_limit(milliseconds(task.declared_ms)));
-    if (!options_.mechanisms.stop_stalled_runs || no_progress_ms < allowed.count())
+    const auto no_progress_ms = task.progress.update(percent_done, clock_ms);
+    const bool stalled =
+        options_.mechanisms.stop_stalled_runs &&
+        milliseconds(no_progress_ms) >= stall_limit(milliseconds(task.declared_ms));
+    if (!stalled && !outlives_worker(now, task))
         return;
-    ++counters_.stalled;
-    health_.on_failure(now, task.run.job);
-    log_event(log_level::info, "run_stalled",
+    ++(stalled ? counters_.stalled : counters_.departing);
+    if (stalled)
+        health_.on_failure(now, task.run.job);
+    log_event(log_level::info, stalled ? "run_stalled" : "run_outlives_worker",
               {{"job", task.run.job},
                {"task", task.run.index},
                {"run", task.run.number},
-               {"percent", task.percent_done},
+               {"percent", task.progress.percent},
                {"still_ms", no_progress_ms},
                {"estimate_ms", task.declared_ms}});
     send_stop(now, task);
 }
 
+bool task_host::outlives_worker(instant now, const hosted_task& task) const
+{
+    return options_.mechanisms.restart_departing_runs && worker_ && worker_->leaves_after &&
+           restart_elsewhere({now - task.started_at, task.progress.percent,
+                              milliseconds(task.declared_ms), task.caller_leaves_at - now},
+                             *worker_->leaves_after - (now - announced_at_));
+}
+
 void task_host::on_run_end(instant now, const run_end& end)
 {
     unknown_runs_.erase(end.run);
@@ -385,12 +387,9 @@
 void task_host::mark_runs_stopped(instant now)
 {
     for (auto task = tasks_.begin(); task != tasks_.end();)
-    {
-        if (task->second.state != task_state::waiting)
-            task = finish(now, task, task_end_kind::stopped);
-        else
-            ++task;
-    }
+        task = task->second.state == task_state::waiting
+                   ? std::next(task)
+                   : finish(now, task, task_end_kind::stopped);
 }
 
 } // namespace tarragonlock
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -313,9 +313,11 @@
 {
     const auto incarnation = agents_[agent].incarnation;
     const auto known = jobs_.find(request.run.job);
-    const duration work = known != jobs_.end() && known->second.work_ms > 0
-                              ? duration(milliseconds(known->second.work_ms))
-                              : random_time(30, 900);
+    duration work = known != jobs_.end() && known->second.work_ms > 0
+                        ? duration(milliseconds(known->second.work_ms))
+                        : random_time(30, 900);
+    if (options_.tail_share > 0.0 && chance(options_.tail_share))
+        work = std::chrono::duration_cast<duration>(work * options_.tail_factor);
     const bool fails = chance(options_.failing_share);
     const auto reply_to =
         [this, agent, incarnation, run = request.run](start_reply reply, std::int64_t clock_ms)
@@ -723,6 +725,41 @@
     agent.worker->set_wall_clock_offset(agent.wall_clock_offset);
 }
 
+void leased_fleet::announce(std::size_t agent)
+{
+    if (agents_[agent].worker_left)
+        return;
+    call_process(agents_[agent],
+                 [this, agent, announcement = announcement_of(agent)]
+                 {
+                     agents_[agent].core->on_announcement(now_, announcement);
+                     apply_agent_effects(agent);
+                 });
+}
+
+void leased_fleet::replace_worker(std::size_t index)
+{
+    static constexpr auto replacement_time = std::chrono::seconds(1);
+    agents_[index].worker->drain(now_ + options_.leave_notice);
+    announce(index);
+    schedule(options_.leave_notice,
+             [this, index]
+             {
+                 auto& agent = agents_[index];
+                 const auto id = agent.worker->announcement(now_).id;
+                 agent.worker->replace(now_, id + "'");
+                 agent.worker->refuse_requests(now_ + replacement_time);
+                 agent.worker_left = true;
+                 call_process(agent, [&agent, this, id] { agent.core->on_worker_left(now_, id); });
+             });
+    schedule(options_.leave_notice + replacement_time,
+             [this, index]
+             {
+                 agents_[index].worker_left = false;
+                 announce(index);
+             });
+}
+
 void leased_fleet::check_all_workers_used()
 {
     for (std::size_t i = 0; i < entries_.size(); ++i)
@@ -867,6 +904,9 @@
     for (std::size_t i = 0; i < options_.stalled_workers; ++i)
         schedule(options_.stalled_at,
                  [this, i] { agents_[i].worker->stall(now_ + options_.stalled_for); });
+    for (std::size_t i = 0; i < options_.leaving_workers; ++i)
+        schedule(options_.leaving_at + options_.leave_interval * i,
+                 [this, i] { replace_worker(i); });
     const auto finish = begin + options_.length;
     while (now_ < finish)
     {
@@ -886,12 +926,7 @@
         {
             next_heartbeat = now_ + heartbeat_interval;
             for (std::size_t i = 0; i < agents_.size(); ++i)
-                call_process(agents_[i],
-                             [this, i, announcement = announcement_of(i)]
-                             {
-                                 agents_[i].core->on_announcement(now_, announcement);
-                                 apply_agent_effects(i);
-                             });
+                announce(i);
         }
         if (now_ >= next_tick)
         {
@@ -950,6 +985,11 @@
     }
     result_.starts = tracker_.starts;
     result_.violations = tracker_.violations;
+    for (const auto& agent : agents_)
+    {
+        result_.stalled += agent.core->counters().stalled;
+        result_.departing += agent.core->counters().departing;
+    }
     for (const auto& entry : entries_)
     {
         result_.tasks_placed += entry.core->counters().tasks_placed;
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -84,6 +84,15 @@
     std::size_t stalled_workers = 0;
     duration stalled_at{};
     duration stalled_for{};
+    /// Number of workers that leave one after the other, leave_interval apart, from leaving_at on.
+    /// Each announces it leave_notice ahead, and another one follows on its host a second later.
+    std::size_t leaving_workers = 0;
+    duration leaving_at{};
+    duration leave_interval{};
+    duration leave_notice{};
+    /// Share of the runs that take tail_factor times as long.
+    double tail_share = 0.0;
+    double tail_factor = 1.0;
     /// Share of the start requests that get no answer and arrive seconds late, from
     /// unanswered_from on, for unanswered_for.
     double unanswered_starts = 0.0;
@@ -128,6 +137,9 @@
     /// Tasks that entries sent to agents, and those of them that came back without a start.
     std::uint64_t tasks_placed = 0;
     std::uint64_t tasks_returned = 0;
+    /// Runs that agents stopped for want of progress, and because their worker leaves.
+    std::uint64_t stalled = 0;
+    std::uint64_t departing = 0;
     /// Tasks that were sent to agents in other failure domains.
     std::uint64_t remote_tasks_placed = 0;
     /// Bytes of the frames that cross failure domains.
@@ -183,6 +195,8 @@
         std::unique_ptr<virtual_worker> worker;
         duration wall_clock_offset{};
         std::vector<pending_renewal> renewals;
+        /// Whether it has no worker, because the last one has left.
+        bool worker_left = false;
     };
     struct pair_link
     {
@@ -250,6 +264,9 @@
     void inject_fault();
     /// @param silent  whether the peers get no connection reset, as after a power loss
     void kill_process(bool is_entry, std::size_t index, bool silent);
+    /// Announces a worker's departure, lets it leave, and starts another in its place.
+    void replace_worker(std::size_t index);
+    void announce(std::size_t agent);
     /// Makes a worker unhealthy for a while, or sets a wall clock.
     void inject_worker_fault();
     /// Records a violation for each entry that does not use a worker at the end of the run, after
--- a/tests/fakes/load_patterns.cpp
+++ b/tests/fakes/load_patterns.cpp
@@ -76,6 +76,11 @@
     stalled.stalled_workers = 3;
     stalled.stalled_at = seconds(8);
     stalled.stalled_for = seconds(5);
+    auto replaced = small;
+    replaced.leaving_workers = 7;
+    replaced.leaving_at = seconds(5);
+    replaced.leave_interval = seconds(2);
+    replaced.leave_notice = std::chrono::milliseconds(400);
     return {
         {"calm", mixed_fleet(calm_load)},
         {"lookups x1.9", with_floods(small, {{lookup, 1.9}})},
@@ -85,6 +90,7 @@
         {"lookups x1.7, releases x2.5, 4 of 11 lost",
          with_lost_agents(with_floods(small, {{lookup, 1.7}, {release, 2.5}}), 4)},
         {"3 of 11 stand still", stalled},
+        {"7 of 11 replaced at short notice", replaced},
         {"12 entries, releases x2.5", with_floods(large, {{release, 2.5}})},
         {"12 entries, holds x3", with_floods(large, {{hold, 3.0}})},
         {"12 entries, releases x2.5, 9 of 44 lost",
--- a/tests/fakes/virtual_worker.cpp
+++ b/tests/fakes/virtual_worker.cpp
@@ -40,6 +40,7 @@
     start_time_ = now;
     start_time_ms_ = (now.time_since_epoch() + wall_clock_offset_) / std::chrono::milliseconds(1);
     sequence_ = 0;
+    leaves_at_.reset();
     highest_fence_ = 0;
     lease_end_ms_ = 0;
     last_end_number_ = 0;
@@ -61,7 +62,9 @@
     result.address = "127.0.0.1:1";
     result.failure_domain = "fd-0";
     result.capacity = settings_.capacity;
-    result.accepting = true;
+    result.accepting = !leaves_at_;
+    if (leaves_at_)
+        result.leaves_after = std::max(*leaves_at_ - now, duration(0));
     result.clock_ms = clock(now);
     result.start_time_ms = start_time_ms_;
     result.sequence = ++sequence_;
--- a/tests/fakes/virtual_worker.hpp
+++ b/tests/fakes/virtual_worker.hpp
@@ -68,6 +68,8 @@
     void set_wall_clock_offset(duration offset) { wall_clock_offset_ = offset; }
     /// Suspends the progress of all runs until a time.
     void stall(instant until) { stalled_until_ = until; }
+    /// Announces that the worker leaves at a time, until it restarts.
+    void drain(instant leaves_at) { leaves_at_ = leaves_at; }
     /// Ends the runs that are due or whose lease has expired; to be called every millisecond.
     void on_tick(instant now);
     /// @return whether the list holds ended runs that the agent has not acknowledged
@@ -92,6 +94,7 @@
     instant start_time_;
     instant last_tick_;
     instant stalled_until_;
+    std::optional<instant> leaves_at_;
     instant unhealthy_until_;
     duration wall_clock_offset_{};
     std::int64_t start_time_ms_ = 0;
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -102,6 +102,21 @@
     BOOST_TEST(worker.value().failure_domain == "fd-1");
     BOOST_TEST(worker.value().start_time_ms == 1'700'000'000'000);
     BOOST_TEST(worker.value().labels.contains("r1-3"));
+    BOOST_TEST(!worker.value().leaves_after.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(remaining_time_of_a_draining_worker_is_decoded)
+{
+    const auto format = platform::make_announcement_format();
+    std::string body = valid_announcement;
+    const auto state = body.find(R"("ready")");
+    body.replace(state, 7, R"("draining","drain_remaining_ms":1250)");
+    const auto worker = format->decode(announcement_request(body));
+    BOOST_REQUIRE(worker.has_value());
+    BOOST_TEST(!worker.value().accepting);
+    BOOST_TEST((worker.value().leaves_after == std::chrono::milliseconds(1250)));
+    body.replace(body.find("1250"), 4, "-1");
+    BOOST_TEST(!format->decode(announcement_request(body)).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(malformed_announcements_are_rejected)
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -119,7 +119,8 @@
     }
 
     void place(channel_id channel, const std::string& job, std::uint32_t tasks = 1,
-               std::uint32_t priority = 0, std::uint32_t start_within_ms = 1000)
+               std::uint32_t priority = 0, std::uint32_t start_within_ms = 1000,
+               std::uint32_t caller_waits_ms = 4000)
     {
         place_tasks request;
         request.job = job;
@@ -127,6 +128,7 @@
         request.declared_ms = 200;
         request.priority = priority;
         request.start_within_ms = start_within_ms;
+        request.caller_waits_ms = caller_waits_ms;
         for (std::uint32_t i = 0; i < tasks; ++i)
             request.tasks.push_back({i, 1});
         host->on_message(now, channel, request);
@@ -197,6 +199,29 @@
     BOOST_TEST((f.ends[0].kind == task_end_kind::done));
 }
 
+// The worker leaves while the run has made progress, but can't end before.
+BOOST_AUTO_TEST_CASE(run_that_outlives_its_worker_is_stopped_while_its_caller_waits_for_a_new_one)
+{
+    for (const auto& [caller_waits_ms, stops] :
+         std::map<std::uint32_t, std::size_t>{{1000, 1}, {300, 0}})
+    {
+        fixture f;
+        f.place(entry_a, "one", 1, 0, 1000, caller_waits_ms);
+        f.host->on_start_reply(f.now, f.starts[0].run, start_reply::accepted, 5000);
+        f.advance(milliseconds(50), {entry_a, entry_b});
+        auto leaving = f.announcement(first_start_time_ms);
+        leaving.accepting = false;
+        leaving.leaves_after = milliseconds(300);
+        f.host->on_announcement(f.now, leaving);
+        run_listing listing;
+        listing.running = {{f.starts[0].run, 4}};
+        f.answer_renewals(listing);
+        BOOST_TEST(f.stops.size() == stops);
+        BOOST_TEST(f.host->counters().departing == stops);
+        BOOST_TEST(f.host->counters().stalled == 0U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(run_being_stopped_keeps_its_resources)
 {
     fixture f;
