agent: a worker that turns slow is recognised within a few runs

The slowness that agents report was an average over thirty runs, so a worker that turned 7.5 times slower got work for seconds that ended late there. request/worker_pace compares the progress and ends of all its latest runs with the usual ones: when nearly all of at least four differ by a factor of 2.4, they count instead; single long runs don't.

compare_overload gets patterns with tails, with slow workers, and with jobs that want one rack; the fake fleet has racks. Unit tests without overload_tests pass.

--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -7,6 +7,7 @@
 #include "tarragonlock/process/worker_health.hpp"
 #include "tarragonlock/request/leased_job.hpp"
 #include "tarragonlock/request/run_progress.hpp"
+#include "tarragonlock/request/worker_pace.hpp"
 
 #include <cstdint>
 #include <map>
@@ -188,6 +189,7 @@
     bool ask_silent_worker = true;
     bool raise_fence_for_renewals = true;
     bool restart_departing_runs = true;
+    bool judge_latest_runs = true;
 };
 
 /// Identity and time limits of the agent. The defaults match the stand-ins used by the tests.
@@ -262,6 +264,8 @@
     /// @return the newest configuration received from an entry; version 0 when there is none.
     const configuration_copy& configuration() const { return configuration_.current(); }
     const std::optional<worker_announcement>& worker() const { return worker_; }
+    /// @return run times on the worker at present, divided by the declared ones
+    double slowness(instant now) const;
     std::size_t waiting() const;
     std::size_t running() const { return tasks_.size() - waiting(); }
 
@@ -302,6 +306,8 @@
         /// Whether the start request got no answer and no listing has shown the run since.
         bool in_doubt = false;
         run_progress progress;
+        /// Least slowness of the run, from its progress in the last listing.
+        double min_slowness = 0.0;
         /// When the caller stops waiting for the job.
         instant caller_leaves_at;
         /// Limit for the worker's lease: after this, another entry may run the task.
@@ -383,7 +389,6 @@
     bool may_start(instant now) const;
     bool entry_lease_valid(instant now, channel_id channel) const;
     void record_outcome(instant now, const hosted_task& task, task_end_kind kind);
-    void update_mean_run_times(const hosted_task& task, instant now);
     /// Updates the tasks from a listing of the worker.
     /// @param number  number of the renewal that the listing answers
     void reconcile(instant now, std::uint64_t number, const run_listing& listing);
@@ -458,9 +463,7 @@
     /// received none.
     std::uint64_t description_version_ = 1;
     instant unavailable_until_;
-    double mean_run_ms_ = 200.0;
-    double mean_actual_ms_ = 0.0;
-    double mean_declared_ms_ = 0.0;
+    worker_pace pace_;
     worker_health health_;
     service_levels levels_;
     configuration_relay configuration_;
--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -283,6 +283,8 @@
            counter_text("entry_leases_over_total", counts.expired_entry_leases) +
            counter_text("malformed_announcements_total", malformed_announcements_) +
            counter_text("store_calls_total", store_.call_count()) +
+           gauge_text("worker_slowness_percent",
+                      static_cast<std::uint64_t>(host_.slowness(process_clock::now()) * 100.0)) +
            gauge_text("tasks_waiting", host_.waiting()) +
            gauge_text("tasks_running", host_.running()) +
            counter_text("log_lines_dropped_total", dropped_log_line_count()) +
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -227,7 +227,7 @@
     if (kind == task_end_kind::done)
     {
         ++counters_.done;
-        update_mean_run_times(hosted, now);
+        pace_.on_run_done(now, now - hosted.started_at, milliseconds(hosted.declared_ms));
     }
     counters_.failed += kind == task_end_kind::failed ? 1 : 0;
     counters_.returned += kind == task_end_kind::not_started ? 1 : 0;
@@ -264,17 +264,19 @@
                    std::chrono::duration_cast<milliseconds>(now - task.started_at));
 }
 
-void task_host::update_mean_run_times(const hosted_task& task, instant now)
+double task_host::slowness(instant now) const
 {
-    // Weight of the newest run in the moving averages, which cover about the last thirty runs.
-    constexpr double weight = 0.03;
-    const auto elapsed_ms =
-        std::chrono::duration<double, std::milli>(now - task.started_at).count();
-    mean_run_ms_ += weight * (elapsed_ms - mean_run_ms_);
-    if (task.declared_ms == 0)
-        return;
-    mean_actual_ms_ += weight * (elapsed_ms - mean_actual_ms_);
-    mean_declared_ms_ += weight * (task.declared_ms - mean_declared_ms_);
+    if (!options_.mechanisms.judge_latest_runs)
+        return pace_.usual_slowness();
+    // Earlier in a run, its progress is too coarse.
+    constexpr std::uint32_t min_percent = 2;
+    std::vector<double> running;
+    for (const auto& [id, task] : tasks_)
+    {
+        if (task.state == task_state::running && task.progress.percent >= min_percent)
+            running.push_back(task.min_slowness);
+    }
+    return pace_.slowness(now, running);
 }
 
 bool task_host::accepting(instant now) const
@@ -679,10 +681,8 @@
             report.queued_cpu.at(std::min<std::size_t>(
                 task.priority, reported_priority_count - 1)) += task.demand.cpu_millis;
     }
-    report.mean_run_ms = static_cast<std::uint32_t>(mean_run_ms_);
-    if (mean_declared_ms_ > 0.0)
-        report.slowness_millis = static_cast<std::uint32_t>(
-            std::clamp(mean_actual_ms_ / mean_declared_ms_, 0.1, 20.0) * 1000.0);
+    report.mean_run_ms = static_cast<std::uint32_t>(pace_.mean_run() / milliseconds(1));
+    report.slowness_millis = static_cast<std::uint32_t>(slowness(now) * 1000.0);
     report.condition = condition(now);
     return report;
 }
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -223,10 +223,9 @@
     last_renewal_sent_at_ = now;
     pending_renewals_[last_renewal_number_ + 1] = fence_;
     last_end_acknowledged_ = last_end_received_;
-    const auto wait_ms = std::chrono::duration_cast<milliseconds>(wait).count();
     effects_.emplace_back(renewal_request{++last_renewal_number_, active ? extend_lease(now) : 0,
                                           fence_, last_end_received_,
-                                          static_cast<std::uint32_t>(wait_ms)});
+                                          static_cast<std::uint32_t>(wait / milliseconds(1))});
 }
 
 void task_host::on_renewal_reply(instant now, std::uint64_t number, const renewal_reply& reply)
@@ -334,6 +333,8 @@
                                std::int64_t clock_ms)
 {
     const auto no_progress_ms = task.progress.update(percent_done, clock_ms);
+    task.min_slowness =
+        min_slowness(now - task.started_at, percent_done, milliseconds(task.declared_ms));
     const bool stalled =
         options_.mechanisms.stop_stalled_runs &&
         milliseconds(no_progress_ms) >= stall_limit(milliseconds(task.declared_ms));
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -98,6 +98,7 @@
     settings.name = "entry-" + std::to_string(index);
     settings.failure_domain = failure_domain(index);
     settings.wait_for_lost_agents = options_.wait_for_lost_agents;
+    settings.remote_data_factor = options_.remote_data_factor;
     entry.core = std::make_unique<leased_dispatcher>(now_, settings);
 }
 
@@ -195,10 +196,18 @@
     return "fd-" + std::to_string(process % options_.failure_domains);
 }
 
+std::string leased_fleet::rack_of(std::size_t agent) const
+{
+    return options_.racks == 0 ? ""
+                               : "rack-" + std::to_string(agent * options_.racks / agents_.size());
+}
+
 worker_announcement leased_fleet::announcement_of(std::size_t agent)
 {
     auto announcement = agents_[agent].worker->announcement(now_);
     announcement.failure_domain = failure_domain(agent);
+    if (options_.racks > 0)
+        announcement.labels[rack_of(agent)] = "";
     return announcement;
 }
 
@@ -318,6 +327,12 @@
                         : random_time(30, 900);
     if (options_.tail_share > 0.0 && chance(options_.tail_share))
         work = std::chrono::duration_cast<duration>(work * options_.tail_factor);
+    if (known != jobs_.end())
+    {
+        const auto& rack = known->second.request.steps[request.run.step].data_rack;
+        if (!rack.empty() && rack != rack_of(agent))
+            work = std::chrono::duration_cast<duration>(work * options_.remote_data_factor);
+    }
     const bool fails = chance(options_.failing_share);
     const auto reply_to =
         [this, agent, incarnation, run = request.run](start_reply reply, std::int64_t clock_ms)
@@ -607,6 +622,8 @@
     const auto error = options_.estimate_error;
     const auto percent = 100 - error + static_cast<std::uint32_t>(random_index(2 * error + 1));
     step.declared_ms = std::max(job.work_ms * percent / 100, 1U);
+    if (queue.rack_share > 0.0 && chance(queue.rack_share))
+        step.data_rack = "rack-0";
     job.request = {id, "spec", {step}, deadline_ms()};
     offered_.push_back({queue.queue, now_, now_ + allowed_time(job),
                         milliseconds(job.work_ms * queue.tasks), job.counted});
@@ -904,6 +921,9 @@
     for (std::size_t i = 0; i < options_.stalled_workers; ++i)
         schedule(options_.stalled_at,
                  [this, i] { agents_[i].worker->stall(now_ + options_.stalled_for); });
+    for (std::size_t i = 0; i < options_.slow_workers; ++i)
+        schedule(options_.slow_at, [this, i]
+                 { agents_[i].worker->slow_down(now_ + options_.slow_for, options_.slow_factor); });
     for (std::size_t i = 0; i < options_.leaving_workers; ++i)
         schedule(options_.leaving_at + options_.leave_interval * i,
                  [this, i] { replace_worker(i); });
--- a/tests/fakes/leased_fleet.hpp
+++ b/tests/fakes/leased_fleet.hpp
@@ -32,6 +32,8 @@
     duration flood_for{};
     /// Standard deviation of the run time's logarithm, from job to job.
     double work_spread = 0.0;
+    /// Share of the jobs whose data is on the first rack.
+    double rack_share = 0.0;
 };
 
 /// Outcome of the jobs of one queue.
@@ -84,12 +86,22 @@
     std::size_t stalled_workers = 0;
     duration stalled_at{};
     duration stalled_for{};
+    /// Number of racks, among which the workers are divided in order; 0 for none.
+    std::size_t racks = 0;
+    /// How many times as long a task takes away from the rack of its data.
+    double remote_data_factor = 2.0;
     /// Number of workers that leave one after the other, leave_interval apart, from leaving_at on.
     /// Each announces it leave_notice ahead, and another one follows on its host a second later.
     std::size_t leaving_workers = 0;
     duration leaving_at{};
     duration leave_interval{};
     duration leave_notice{};
+    /// Number of workers on which all runs take slow_factor times as long, from slow_at on, for
+    /// slow_for.
+    std::size_t slow_workers = 0;
+    duration slow_at{};
+    duration slow_for{};
+    double slow_factor = 7.5;
     /// Share of the runs that take tail_factor times as long.
     double tail_share = 0.0;
     double tail_factor = 1.0;
@@ -241,6 +253,8 @@
                  bool to_entry);
     void connect_all();
     std::string failure_domain(std::size_t process) const;
+    /// @return the label of a worker's rack; empty without racks
+    std::string rack_of(std::size_t agent) const;
     worker_announcement announcement_of(std::size_t agent);
     /// Counts a message by the failure domains of its sender and receiver.
     void count_message(std::size_t entry, std::size_t agent, const lease_message& body);
--- a/tests/fakes/load_patterns.cpp
+++ b/tests/fakes/load_patterns.cpp
@@ -81,6 +81,17 @@
     replaced.leaving_at = seconds(5);
     replaced.leave_interval = seconds(2);
     replaced.leave_notice = std::chrono::milliseconds(400);
+    auto hot_rack = with_floods(mixed_fleet(busy_load * 1.25, 6, 24), {{lookup, 1.9}});
+    hot_rack.racks = 8;
+    hot_rack.traffic[lookup].rack_share = 0.5;
+    auto lost_rack = with_lost_agents(hot_rack, 3);
+    auto tails = small;
+    tails.tail_share = 0.03;
+    tails.tail_factor = 7.0;
+    auto slow = tails;
+    slow.slow_workers = 3;
+    slow.slow_at = seconds(8);
+    slow.slow_for = seconds(6);
     return {
         {"calm", mixed_fleet(calm_load)},
         {"lookups x1.9", with_floods(small, {{lookup, 1.9}})},
@@ -90,7 +101,11 @@
         {"lookups x1.7, releases x2.5, 4 of 11 lost",
          with_lost_agents(with_floods(small, {{lookup, 1.7}, {release, 2.5}}), 4)},
         {"3 of 11 stand still", stalled},
+        {"run times with a tail", tails},
+        {"run times with a tail, 3 of 11 turn slow", slow},
         {"7 of 11 replaced at short notice", replaced},
+        {"lookups x1.9, half of them want one of 8 racks", hot_rack},
+        {"lookups x1.9, half of them want one of 8 racks, which is lost", lost_rack},
         {"12 entries, releases x2.5", with_floods(large, {{release, 2.5}})},
         {"12 entries, holds x3", with_floods(large, {{hold, 3.0}})},
         {"12 entries, releases x2.5, 9 of 44 lost",
--- a/tests/fakes/virtual_worker.cpp
+++ b/tests/fakes/virtual_worker.cpp
@@ -193,6 +193,15 @@
                 active.end += elapsed;
         }
     }
+    else if (now < slow_until_)
+    {
+        for (auto& [run, active] : active_)
+        {
+            if (!active.stopping)
+                active.end +=
+                    std::chrono::duration_cast<duration>(elapsed * (1.0 - 1.0 / slow_factor_));
+        }
+    }
     const bool lease_expired = !active_.empty() && clock(now) >= lease_end_ms_;
     for (auto run = active_.begin(); run != active_.end();)
     {
--- a/tests/fakes/virtual_worker.hpp
+++ b/tests/fakes/virtual_worker.hpp
@@ -68,6 +68,12 @@
     void set_wall_clock_offset(duration offset) { wall_clock_offset_ = offset; }
     /// Suspends the progress of all runs until a time.
     void stall(instant until) { stalled_until_ = until; }
+    /// Makes all runs take factor times as long until a time.
+    void slow_down(instant until, double factor)
+    {
+        slow_until_ = until;
+        slow_factor_ = factor;
+    }
     /// Announces that the worker leaves at a time, until it restarts.
     void drain(instant leaves_at) { leaves_at_ = leaves_at; }
     /// Ends the runs that are due or whose lease has expired; to be called every millisecond.
@@ -94,6 +100,8 @@
     instant start_time_;
     instant last_tick_;
     instant stalled_until_;
+    instant slow_until_;
+    double slow_factor_ = 1.0;
     std::optional<instant> leaves_at_;
     instant unhealthy_until_;
     duration wall_clock_offset_{};
