--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -8,6 +8,8 @@
 #include "tarragonlock/process/worker_health.hpp"
 #include "tarragonlock/request/cold_start.hpp"
 #include "tarragonlock/request/leased_job.hpp"
+#include "tarragonlock/request/run_progress.hpp"
+#include "tarragonlock/request/worker_pace.hpp"
 
 #include <cstdint>
 #include <map>
@@ -148,6 +150,8 @@
     resource_amount capacity;
     /// Whether the worker accepts new tasks.
     bool accepting = false;
+    /// Minimum time until the worker leaves; empty while it does not announce its departure.
+    std::optional<duration> leaves_after;
     std::int64_t clock_ms = 0;
     /// Start time of the worker process, as Unix time in milliseconds; 0 if not reported.
     std::int64_t start_time_ms = 0;
@@ -189,6 +193,8 @@
     bool ask_silent_worker = true;
     bool raise_fence_for_renewals = true;
     bool heed_evacuations = true;
+    bool restart_departing_runs = true;
+    bool judge_latest_runs = true;
 };
 
 /// Identity and time limits of the agent. The defaults match the stand-ins used by the tests.
@@ -218,6 +224,8 @@
     std::uint64_t returned_for_evacuation = 0;
     std::uint64_t stopped = 0;
     std::uint64_t stalled = 0;
+    /// Runs stopped because their worker leaves before they can end.
+    std::uint64_t departing = 0;
     std::uint64_t unanswered_starts = 0;
     std::uint64_t renewals = 0;
     /// Renewals that brought no listing, because of a timeout, an error or a refusal.
@@ -264,6 +272,8 @@
     const configuration_copy& configuration() const { return configuration_.current(); }
     const evacuation_state& evacuations() const { return evacuations_.current(); }
     const std::optional<worker_announcement>& worker() const { return worker_; }
+    /// @return run times on the worker at present, divided by the declared ones
+    double slowness(instant now) const;
     std::size_t waiting() const;
     std::size_t running() const { return tasks_.size() - waiting(); }
 
@@ -305,9 +315,11 @@
         bool in_doubt = false;
         /// Whether the worker has listed the run, or has been restarted since the start was sent.
         bool may_have_run = false;
-        /// Progress when it last increased, and the worker's clock at that time.
-        std::uint32_t percent_done = 0;
-        std::int64_t last_progress_ms = 0;
+        run_progress progress;
+        /// Least slowness of the run, from its progress in the last listing.
+        double min_slowness = 0.0;
+        /// When the caller stops waiting for the job.
+        instant caller_leaves_at;
         /// Limit for the worker's lease: after this, another entry may run the task.
         instant must_end_by = instant::max();
         /// Whether to report the end to the entry; false once the entry has withdrawn the task.
@@ -394,9 +406,7 @@
     bool may_start(instant now) const;
     bool entry_lease_valid(instant now, channel_id channel) const;
     void record_outcome(instant now, const hosted_task& task, task_end_kind kind);
-    void update_mean_run_times(const hosted_task& task, instant now);
-    /// @return the mean ratio of run times to the declared ones while the worker is warm.
-    double warm_slowness() const;
+    void record_run_time(instant now, const hosted_task& task);
     bool worker_is_cold(instant when) const;
     /// Updates the tasks from a listing of the worker.
     /// @param number  number of the renewal that the listing answers
@@ -404,9 +414,11 @@
     /// @return whether a run is in doubt and no pending renewal will show whether it exists.
     bool needs_immediate_renewal() const;
     void on_run_end(instant now, const run_end& end);
-    /// Stops a run that has made no progress for longer than the stall limit.
+    /// Stops a run that has made no progress for longer than the stall limit, or that can't end
+    /// before its worker leaves while it could elsewhere.
     void check_progress(instant now, hosted_task& task, std::uint32_t percent_done,
                         std::int64_t clock_ms);
+    bool outlives_worker(instant now, const hosted_task& task) const;
     bool accepting(instant now) const;
     /// @return whether the worker has announced itself within the announcement lifetime
     bool announced_recently(instant now) const;
@@ -470,9 +482,7 @@
     /// received none.
     std::uint64_t description_version_ = 1;
     instant unavailable_until_;
-    double mean_run_ms_ = 200.0;
-    double mean_actual_ms_ = 0.0;
-    double mean_declared_ms_ = 0.0;
+    worker_pace pace_;
     cold_start cold_start_;
     worker_health health_;
     service_levels levels_;
--- a/src/connection/lease_codec.cpp
+++ b/src/connection/lease_codec.cpp
@@ -46,7 +46,7 @@
 TARRAGONLOCK_FIELDS(report_preference, v.reduced)
 TARRAGONLOCK_FIELDS(placed_task, v.index, v.attempt)
 TARRAGONLOCK_FIELDS(place_tasks, v.job, v.spec, v.step, v.demand, v.declared_ms, v.priority,
-                    v.start_within_ms, v.tasks)
+                    v.start_within_ms, v.caller_waits_ms, v.tasks)
 TARRAGONLOCK_FIELDS(withdraw_job, v.job)
 TARRAGONLOCK_FIELDS(take_back_job, v.job)
 TARRAGONLOCK_FIELDS(job_taken_back, v.job)
--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -280,12 +280,15 @@
            counter_text("tasks_returned_for_evacuation_total", counts.returned_for_evacuation) +
            counter_text("tasks_stopped_total", counts.stopped) +
            counter_text("tasks_stalled_total", counts.stalled) +
+           counter_text("tasks_restarted_before_departure_total", counts.departing) +
            counter_text("starts_unanswered_total", counts.unanswered_starts) +
            counter_text("renewals_total", counts.renewals) +
            counter_text("renewals_failed_total", counts.failed_renewals) +
            counter_text("entry_leases_over_total", counts.expired_entry_leases) +
            counter_text("malformed_announcements_total", malformed_announcements_) +
            counter_text("store_calls_total", store_.call_count()) +
+           gauge_text("worker_slowness_percent",
+                      static_cast<std::uint64_t>(host_.slowness(process_clock::now()) * 100.0)) +
            gauge_text("tasks_waiting", host_.waiting()) +
            gauge_text("tasks_running", host_.running()) +
            gauge_text("evacuated_domains", host_.evacuations().failure_domains().size()) +
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -105,6 +105,7 @@
         task.declared_ms = request.declared_ms;
         task.priority = request.priority;
         task.start_by = now + milliseconds(request.start_within_ms);
+        task.caller_leaves_at = now + milliseconds(request.caller_waits_ms);
         // The task may still be running here for another entry, and a second run would overlap it.
         if (!accepting(now) || tasks_.contains(id) || !entry_lease_valid(now, channel))
         {
@@ -159,7 +160,7 @@
     if (kind == task_end_kind::done)
     {
         ++counters_.done;
-        update_mean_run_times(hosted, now);
+        record_run_time(now, hosted);
     }
     counters_.failed += kind == task_end_kind::failed ? 1 : 0;
     counters_.returned += kind == task_end_kind::not_started ? 1 : 0;
@@ -196,28 +197,36 @@
                    std::chrono::duration_cast<milliseconds>(now - task.started_at));
 }
 
-void task_host::update_mean_run_times(const hosted_task& task, instant now)
+void task_host::record_run_time(instant now, const hosted_task& task)
 {
-    // Weight of the newest run in the moving averages, which cover about the last thirty runs.
-    constexpr double weight = 0.03;
-    const auto elapsed_ms =
-        std::chrono::duration<double, std::milli>(now - task.started_at).count();
-    mean_run_ms_ += weight * (elapsed_ms - mean_run_ms_);
-    if (task.declared_ms == 0)
-        return;
-    if (worker_is_cold(task.started_at))
+    const auto elapsed = now - task.started_at;
+    const duration declared = milliseconds(task.declared_ms);
+    if (declared == duration(0) || !worker_is_cold(task.started_at))
     {
-        cold_start_.record(elapsed_ms / (task.declared_ms * warm_slowness()));
+        pace_.on_run_done(now, elapsed, declared);
         return;
     }
-    mean_actual_ms_ += weight * (elapsed_ms - mean_actual_ms_);
-    mean_declared_ms_ += weight * (task.declared_ms - mean_declared_ms_);
+    const auto warm = std::chrono::duration<double, std::micro>(declared) * pace_.usual_slowness();
+    cold_start_.record(std::chrono::duration<double, std::micro>(elapsed) / warm);
+    // Its ratio to the declared time would outlast the cold start.
+    pace_.on_run_done(now, elapsed, duration(0));
 }
 
-double task_host::warm_slowness() const
+double task_host::slowness(instant now) const
 {
-    return mean_declared_ms_ > 0.0 ? std::clamp(mean_actual_ms_ / mean_declared_ms_, 0.1, 20.0)
-                                   : 1.0;
+    if (worker_is_cold(now))
+        return pace_.usual_slowness() * cold_start_.factor();
+    if (!options_.mechanisms.judge_latest_runs)
+        return pace_.usual_slowness();
+    // Earlier in a run, its progress is too coarse.
+    constexpr std::uint32_t min_percent = 2;
+    std::vector<double> running;
+    for (const auto& [id, task] : tasks_)
+    {
+        if (task.state == task_state::running && task.progress.percent >= min_percent)
+            running.push_back(task.min_slowness);
+    }
+    return pace_.slowness(now, running);
 }
 
 bool task_host::worker_is_cold(instant when) const
@@ -308,11 +317,10 @@
     task.confirmed = false;
     task.request_sent_at = now;
     task.started_at = now;
-    task.percent_done = 0;
+    task.progress = {};
     task.in_doubt = false;
     task.request_fence = fence_;
-    const task_id id{task.run.job, task.run.step, task.run.index};
-    last_run_numbers_[id] = {task.run.number, now};
+    last_run_numbers_[{task.run.job, task.run.step, task.run.index}] = {task.run.number, now};
     effects_.emplace_back(start_request{task.run,
                                         options_.mechanisms.send_worker_id ? worker_->id : "",
                                         task.spec, extend_lease(now), fence_});
@@ -363,7 +371,7 @@
     case start_reply::accepted:
         task->state = task_state::running;
         task->may_have_run = true;
-        task->last_progress_ms = clock_ms;
+        task->progress.changed_ms = clock_ms;
         task->confirmed = true;
         task->conclusive_renewal = last_renewal_number_ + 1;
         return;
@@ -621,9 +629,8 @@
             report.queued_cpu.at(std::min<std::size_t>(
                 task.priority, reported_priority_count - 1)) += task.demand.cpu_millis;
     }
-    report.mean_run_ms = static_cast<std::uint32_t>(mean_run_ms_);
-    const auto cold_factor = worker_is_cold(now) ? cold_start_.factor() : 1.0;
-    report.slowness_millis = static_cast<std::uint32_t>(warm_slowness() * cold_factor * 1000.0);
+    report.mean_run_ms = static_cast<std::uint32_t>(pace_.mean_run() / milliseconds(1));
+    report.slowness_millis = static_cast<std::uint32_t>(slowness(now) * 1000.0);
     report.condition = condition(now);
     return report;
 }
