entry: a start without answer stays in doubt; jobs with a step to come are not taken back

And a job whose next step waited for a running one was taken back early, so that the next step was not placed any more.

Tasks are taken back early only when all of them are placed.

--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -134,8 +134,7 @@
     done,
     failed,
     not_started, ///< was never sent to the worker
-    stopped,     ///< ended without a result, and no part of it is running any more
-    never_ran    ///< was sent to the worker, which has shown that it did not run and never will
+    stopped      ///< ended without a result, and no part of it is running any more
 };
 
 /// @return the name used in logs.
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -295,8 +295,6 @@
         std::uint64_t conclusive_renewal = 0;
         /// Whether the start request got no answer and no listing has shown the run since.
         bool in_doubt = false;
-        /// Whether the worker has listed the run, or has been restarted since the start was sent.
-        bool may_have_run = false;
         /// Progress when it last increased, and the worker's clock at that time.
         std::uint32_t percent_done = 0;
         std::int64_t last_progress_ms = 0;
@@ -365,7 +363,6 @@
     void renew_if_needed(instant now);
     void on_listing(instant now, std::uint64_t number, const run_listing& listing);
     void mark_runs_stopped(instant now);
-    static task_end_kind end_of_absent_run(const hosted_task& task, std::size_t ends);
     void reset_worker_state();
     void send_report(instant now, channel_id channel, entry_channel& entry);
     /// @return a load report without the fields that differ between entries.
--- a/src/connection/lease_codec.cpp
+++ b/src/connection/lease_codec.cpp
@@ -15,7 +15,7 @@
 
 checked_enum<task_end_kind> checked(task_end_kind& value)
 {
-    return {value, task_end_kind::never_ran};
+    return {value, task_end_kind::stopped};
 }
 
 checked_enum<worker_condition> checked(worker_condition& value)
@@ -70,8 +70,6 @@
         return "not_started";
     case task_end_kind::stopped:
         return "stopped";
-    case task_end_kind::never_ran:
-        return "never_ran";
     }
     return "unknown";
 }
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -197,7 +197,7 @@
 {
     auto& job = *found->second;
     ended.state = task_state::unplaced;
-    if (kind == task_end_kind::not_started || kind == task_end_kind::never_ran)
+    if (kind == task_end_kind::not_started)
         job.exposure.on_returned();
     else
         job.exposure.on_ended();
@@ -220,7 +220,6 @@
         }
         break;
     case task_end_kind::stopped:
-    case task_end_kind::never_ran:
         ended.last_failed_worker = ended.channel;
         ++counters_.tasks_stopped;
         break;
--- a/src/process/leased_job_ends.cpp
+++ b/src/process/leased_job_ends.cpp
@@ -37,6 +37,7 @@
 {
     std::vector<step_prospect> if_placed_run;
     std::vector<step_prospect> if_unstarted;
+    bool all_placed = true;
     for (std::size_t position = 0; position < job.steps.size(); ++position)
     {
         const auto& step = job.request.steps[position];
@@ -46,7 +47,10 @@
         {
             placed = placed || task.state == task_state::placed;
             if (task.state == task_state::unplaced || task.state == task_state::lost)
+            {
                 prospect.needs_start = true;
+                all_placed = false;
+            }
             if (task.state == task_state::lost)
                 prospect.blocked_until = std::max(prospect.blocked_until, task.retry_at);
         }
@@ -55,8 +59,9 @@
         if_unstarted.push_back(prospect);
     }
     const auto fastest = fastest_slowness();
-    return {job.deadline, earliest_end(now, if_placed_run, fastest),
-            earliest_end(now, if_unstarted, fastest)};
+    const auto end = earliest_end(now, if_placed_run, fastest);
+    // As long as tasks have to be placed, a job that is taken back would lose time.
+    return {job.deadline, end, all_placed ? earliest_end(now, if_unstarted, fastest) : end};
 }
 
 leased_answer leased_dispatcher::final_answer(const active_job& job, leased_reason reason)
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -369,7 +369,6 @@
     {
     case start_reply::accepted:
         task->state = task_state::running;
-        task->may_have_run = true;
         task->last_progress_ms = clock_ms;
         task->confirmed = true;
         task->conclusive_renewal = last_renewal_number_ + 1;
--- a/src/process/task_host_returns.cpp
+++ b/src/process/task_host_returns.cpp
@@ -10,8 +10,6 @@
 
 /// Minimum time between the latest possible end of a withdrawn job's runs and the caller's resend.
 constexpr auto withdrawal_margin = std::chrono::milliseconds(160);
-/// Number of ends from which on a worker's listing may lack further ones.
-constexpr std::size_t max_listed_ends = 500;
 
 } // namespace
 
@@ -93,13 +91,4 @@
     }
 }
 
-/// @param ends  number of ends in the listing that lacks the task's run
-/// @return how a task ended whose run is not on the worker and has been stopped for good
-task_end_kind task_host::end_of_absent_run(const hosted_task& task, std::size_t ends)
-{
-    // The ends that the listing has were handled before, and this run was not among them.
-    const bool never_ran = task.in_doubt && !task.may_have_run && ends < max_listed_ends;
-    return never_ran ? task_end_kind::never_ran : task_end_kind::stopped;
-}
-
 } // namespace tarragonlock
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -104,8 +104,6 @@
     health_.reset();
     worker_reconciled_ = false;
     unknown_runs_.clear();
-    for (auto& [id, task] : tasks_)
-        task.may_have_run = task.state != task_state::waiting;
     // Start requests meant for the previous process may still arrive. The worker rejects them once
     // it has received the higher fence with a new renewal.
     if (options_.mechanisms.raise_fence_on_worker_restart)
@@ -305,7 +303,7 @@
             if (unknown_runs_.try_emplace(run, now).second)
                 effects_.emplace_back(stop_request{run, fence_});
         }
-        else if (task->may_have_run = true; task->state == task_state::starting)
+        else if (task->state == task_state::starting)
         {
             // The reply to the start request was lost, or this listing arrived before it.
             task->state = task_state::running;
@@ -327,9 +325,8 @@
                             number >= hosted.conclusive_renewal && !running.contains(hosted.run);
         if (absent && hosted.state == task_state::starting && hosted.in_doubt)
             send_stop(now, hosted);
-        task = absent && hosted.confirmed
-                   ? finish(now, task, end_of_absent_run(hosted, listing.ended.size()))
-                   : std::next(task);
+        task = absent && hosted.confirmed ? finish(now, task, task_end_kind::stopped)
+                                          : std::next(task);
     }
     worker_reconciled_ = unknown_runs_.empty();
 }
