agent: dial an entry's address for a while after its key is gone

Cause: an entry removes its key when it stops. Agents that knew it only from the store forgot its address, so one that restarted while the store was silent had no agents and no configuration.

--- a/src/process/leased_agent_daemon.cpp
+++ b/src/process/leased_agent_daemon.cpp
@@ -5,6 +5,7 @@
 #include "process/metrics_text.hpp"
 #include "process/settings_reload.hpp"
 #include "tarragonlock/common/log.hpp"
+#include "tarragonlock/connection/entry_dialling.hpp"
 
 #include <absl/cleanup/cleanup.h>
 
@@ -16,8 +17,6 @@
 
 using std::chrono::milliseconds;
 
-/// Interval between two attempts to connect to an entry.
-constexpr auto dial_interval = milliseconds(100);
 /// Connect timeout; a host without power does not refuse the connection.
 constexpr auto dial_timeout = milliseconds(200);
 /// The process exits this long before the grace period of a shutdown ends.
@@ -150,22 +149,21 @@
 {
     if (stopping_)
         return;
-    // An entry with a channel is kept even if it is not registered, because the store may lose the
-    // keys of running entries.
-    std::erase_if(entries_,
-                  [this](const auto& item)
-                  {
-                      return !registrations_.contains(item.first) && !item.second.hinted &&
-                             item.second.channel == 0;
-                  });
-    for (auto& [address, entry] : entries_)
+    for (auto item = entries_.begin(); item != entries_.end();)
     {
-        if (entry.channel != 0 && !entry.open && now - entry.dialled_at > dial_timeout)
+        auto& [address, entry] = *item;
+        if (entry.open)
+            entry.last_open = now;
+        else if (entry.channel != 0 && now - entry.dialled_at > dial_timeout)
             channels_->close(std::exchange(entry.channel, 0));
-        if (entry.channel != 0 || now - entry.dialled_at < dial_interval)
-            continue;
-        entry.dialled_at = now;
-        entry.channel = channels_->dial(address);
+        const auto action = next_dial(now, {registrations_.contains(address), entry.hinted,
+                                            entry.channel != 0, entry.last_open, entry.dialled_at});
+        if (action == dial_action::dial)
+        {
+            entry.dialled_at = now;
+            entry.channel = channels_->dial(address);
+        }
+        item = action == dial_action::forget ? entries_.erase(item) : std::next(item);
     }
 }
 
--- a/src/process/leased_agent_daemon.hpp
+++ b/src/process/leased_agent_daemon.hpp
@@ -46,6 +46,8 @@
         channel_id channel = 0;
         bool open = false;
         instant dialled_at;
+        /// When its last channel was seen open; unset if none ever was.
+        instant last_open;
     };
 
     leased_agent_daemon(boost::asio::io_context& loop, const leased_agent_settings& settings,
