--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -313,8 +313,6 @@
         std::uint64_t conclusive_renewal = 0;
         /// Whether the start request got no answer and no listing has shown the run since.
         bool in_doubt = false;
-        /// Whether the worker has listed the run, or has been restarted since the start was sent.
-        bool may_have_run = false;
         run_progress progress;
         /// Least slowness of the run, from its progress in the last listing.
         double min_slowness = 0.0;
@@ -390,7 +388,6 @@
     void renew_if_needed(instant now);
     void on_listing(instant now, std::uint64_t number, const run_listing& listing);
     void mark_runs_stopped(instant now);
-    static task_end_kind end_of_absent_run(const hosted_task& task, std::size_t ends);
     void reset_worker_state();
     void send_report(instant now, channel_id channel, entry_channel& entry);
     /// @return a load report without the fields that differ between entries.
