--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -185,11 +185,10 @@
     friend bool operator==(const evacuated_domains&, const evacuated_domains&) = default;
 };
 
-using lease_message =
-    std::variant<agent_hello, worker_description, agent_report, lease_renewal, place_tasks,
-                 withdraw_job, task_end, configuration_notice, configuration_request,
-                 configuration_copy, report_preference, evacuated_domains, take_back_job,
-                 job_taken_back>;
+using lease_message = std::variant<agent_hello, worker_description, agent_report, lease_renewal,
+                                   place_tasks, withdraw_job, task_end, configuration_notice,
+                                   configuration_request, configuration_copy, report_preference,
+                                   evacuated_domains, take_back_job, job_taken_back>;
 
 /// Messages that are sent together.
 using lease_frame = std::vector<lease_message>;
