--- a/include/tarragonlock/connection/connection_budget.hpp
+++ b/include/tarragonlock/connection/connection_budget.hpp
@@ -16,7 +16,7 @@
     /// Bytes of requests and unread responses, as allocated.
     std::uint64_t max_bytes = 40U << 20U;
     std::size_t max_connections = 3772;
-    /// Part of max_connections that only doors opened as reserved may use.
+    /// Part of max_connections that only the readiness port may use.
     std::size_t reserved_connections = 16;
 
     /// Limits of a process on a host with this memory and number of descriptors.
@@ -36,8 +36,8 @@
 };
 
 /// Decides which connections of clients a process closes when they hold too much memory or too many
-/// descriptors. Load pattern: crowds of clients that send large requests and stop short of the end,
-/// or open connections and say nothing, beside clients that hand in work.
+/// descriptors. Load pattern: many clients that send large requests and stop short of the end,
+/// or open connections and send nothing, beside clients that hand in work.
 class connection_budget
 {
 public:
--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -222,8 +222,10 @@
         all_or_nothing
     };
 
-    /// Retry delay for jobs that no connected worker may run, for jobs refused at shutdown, and for
-    /// jobs that were read too late.
+    /// Agents connect to a new entry within this time. Until then a job that no connected worker
+    /// may run is not refused but waits, at most until its latest start.
+    static constexpr duration startup_grace_period = std::chrono::milliseconds(1000);
+    /// Retry delay for jobs that no connected worker may run and for jobs that were read too late.
     static constexpr duration no_worker_retry_delay = std::chrono::seconds(1);
 
     /// Indices of a step's tasks, by destination worker and maximum wait in its queue.
@@ -316,6 +318,8 @@
     bool resources_freed_ = false;
     instant last_dispatch_at_;
     bool placements_held_ = false;
+    /// Whether take_back_all_jobs() has been called.
+    bool ending_ = false;
     std::vector<dispatcher_effect> effects_;
     leased_dispatcher_counters counters_;
     service_levels levels_;
--- a/include/tarragonlock/process/task_host.hpp
+++ b/include/tarragonlock/process/task_host.hpp
@@ -175,6 +175,8 @@
         std::uint64_t conclusive_renewal = 0;
         /// Whether the start request got no answer and no listing has shown the run since.
         bool in_doubt = false;
+        /// Whether the worker was cold when the run was started.
+        bool started_cold = false;
         run_progress progress;
         /// Least slowness of the run, from its progress in the last listing.
         double min_slowness = 0.0;
--- a/include/tarragonlock/request/run_progress.hpp
+++ b/include/tarragonlock/request/run_progress.hpp
@@ -13,6 +13,8 @@
     /// Worker's clock when the progress last increased.
     std::int64_t changed_ms = 0;
 
+    /// @return whether the run's pace can be told from its progress; earlier it is too coarse
+    bool shows_pace() const { return percent >= 2; }
     /// Records the progress in a listing.
     /// @param clock_ms  worker's clock at the time of the listing
     /// @return the time without an increase by the worker's clock, so that a late answer does not
--- a/include/tarragonlock/request/task_exposure.hpp
+++ b/include/tarragonlock/request/task_exposure.hpp
@@ -12,7 +12,7 @@
 /// wait there.
 ///
 /// A task is unplaced, offered (sent to an agent; it may wait there or run), or ended (it ran, or
-/// its agent was lost for so long that a run must have ended). Only its agent's word makes an
+/// its agent was lost for so long that a run must have ended). Only a report of its agent makes an
 /// offered task unplaced again.
 ///
 /// Load pattern: more work than capacity, beside workers that stall. Jobs reach their deadline
@@ -31,8 +31,8 @@
         --offered_;
         ++ended_;
     }
-    /// The connection to an agent with tasks of the job is lost. Nobody can tell any more whether
-    /// they ran.
+    /// The connection to an agent with tasks of the job is lost. Whether they ran is
+    /// unknown from now on.
     void on_agent_lost(std::uint64_t agent)
     {
         in_doubt_ = true;
@@ -41,13 +41,19 @@
 
     /// Records that agents have been asked to return the tasks that wait there.
     /// @param agents  those asked
-    /// @param until   when their silence counts as an answer
+    /// @param until   time limit for their answers
     void take_back(std::set<std::uint64_t> agents, instant until)
     {
         taking_back_ = true;
         unanswered_ = std::move(agents);
         answers_due_ = until;
     }
+    /// The agents have shown that tasks run: the job goes on, and is not taken back again.
+    void resume()
+    {
+        taking_back_ = false;
+        in_doubt_ = true;
+    }
     /// An agent has returned the tasks that waited there.
     void on_taken_back(std::uint64_t agent) { unanswered_.erase(agent); }
 
@@ -81,6 +87,7 @@
     wait,
     take_back, ///< ask its agents to return the tasks that wait there
     refuse,    ///< no task has run, and it is too late to start one
+    resume,    ///< its tasks run; those that fail are placed again
     give_up    ///< tasks may have run, and the job can't end in time any more
 };
 
--- a/src/connection/connection_budget.cpp
+++ b/src/connection/connection_budget.cpp
@@ -1,6 +1,7 @@
 #include "tarragonlock/connection/connection_budget.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tarragonlock
 {
@@ -103,12 +104,15 @@
                                                                           bool with_reserved) const
 {
     std::optional<connection> chosen;
-    double greatest = 0.0;
+    // A response that is being sent may be that of a job which has run, so it is the last to go.
+    std::pair<bool, double> greatest{false, 0.0};
     for (const auto& [id, each] : connections_)
     {
         if (each.phase == connection_phase::serving || (each.is_reserved && !with_reserved))
             continue;
-        if (const auto its_cost = cost(each.bytes, now - each.last_progress); its_cost > greatest)
+        const std::pair its_cost{each.phase != connection_phase::sending,
+                                 cost(each.bytes, now - each.last_progress)};
+        if (!chosen || its_cost > greatest)
         {
             greatest = its_cost;
             chosen = id;
--- a/src/connection/connection_gate.hpp
+++ b/src/connection/connection_gate.hpp
@@ -26,8 +26,8 @@
 /// @return the name of the cause in logs and metrics
 const char* name_of(refusal_cause cause);
 
-/// The connection budget of a process, shared by all its doors. Closes the connections that the
-/// budget names.
+/// The connection budget of a process, shared by all its listening ports. Closes the connections
+/// that the budget names.
 class connection_gate
 {
 public:
@@ -37,7 +37,7 @@
     explicit connection_gate(connection_limits limits) : budget_(limits) {}
 
     /// Adds a connection, and closes another one or this one when there are too many.
-    /// @param on_refused  closes the connection, which includes a call of close()
+    /// @param on_refused  called after the gate has removed the connection; closes its socket
     /// @return the connection; is_open() tells whether it was closed at once
     connection open(close_handler on_refused, bool is_reserved = false);
     void close(connection id);
--- a/src/connection/frame_channel.cpp
+++ b/src/connection/frame_channel.cpp
@@ -35,6 +35,12 @@
 /// Largest number of bytes read from the socket at once.
 constexpr std::size_t read_bytes = 16U << 10U;
 
+/// @return whether the frame begins as the first one of an agent does
+bool starts_with_hello(const lease_frame& frame)
+{
+    return !frame.empty() && std::holds_alternative<agent_hello>(frame.front());
+}
+
 class asio_frame_channels;
 
 /// One TCP connection of asio_frame_channels.
@@ -221,7 +227,7 @@
     if (!client_ || closed_)
         return;
     if (has_frame_)
-        owner_.gate().update(*client_, connection_phase::serving, 0);
+        owner_.gate().update(*client_, connection_phase::serving, read_buffer_.capacity());
     else
     {
         owner_.gate().on_progress(*client_);
@@ -274,6 +280,11 @@
             fail("malformed frame");
             return;
         }
+        if (client_ && !has_frame_ && !starts_with_hello(frame.value()))
+        {
+            fail("the first message is not an agent's");
+            return;
+        }
         has_frame_ = true;
         // The frame may be half applied, and only a new channel restores a consistent state.
         if (!guarded_call("frame",
--- a/src/connection/http_session.cpp
+++ b/src/connection/http_session.cpp
@@ -5,6 +5,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace tarragonlock
@@ -24,6 +25,8 @@
 constexpr std::uint64_t field_cost = 96;
 /// Bytes that may be read ahead of the present request besides a header.
 constexpr std::size_t read_ahead_bytes = 16U << 10U;
+/// Largest number of bytes read from the socket at once.
+constexpr std::size_t read_bytes = 16U << 10U;
 /// Largest read buffer that an idle connection keeps.
 constexpr std::size_t kept_buffer_bytes = 4096;
 /// A client must send or read min_body_bytes within this time. Longer than the outages of links and
@@ -35,7 +38,6 @@
 /// Idle connections are kept this much longer than the operators' limit, so that a client that
 /// observes the limit closes first.
 constexpr duration idle_margin = std::chrono::seconds(2);
-constexpr std::uint32_t busy_retry_ms = 1000;
 
 } // namespace
 
@@ -59,66 +61,89 @@
     progress_.begin(owner_.running_time());
     has_header_ = false;
     field_bytes_ = 0;
-    parser_.emplace();
-    parser_->header_limit(owner_.header_bytes());
-    parser_->body_limit(owner_.settings().max_body_bytes);
-    buffer_.max_size(owner_.header_bytes() + read_ahead_bytes);
     if (buffer_.size() == 0 && buffer_.capacity() > kept_buffer_bytes)
         buffer_.shrink_to_fit();
-    account(buffer_.size() > 0 ? connection_phase::receiving : connection_phase::idle,
-            buffer_.capacity());
-    read_some();
+    report_to_budget(connection_phase::idle, buffer_.capacity());
+    if (!socket_.is_open())
+        return;
+    if (buffer_.size() > 0)
+        parse();
+    else
+        read_some();
 }
 
 void http_session::read_some()
 {
     if (!socket_.is_open())
         return;
-    http::async_read_some(socket_, buffer_, *parser_,
-                          [self = shared_from_this()](error_code error, std::size_t bytes)
-                          {
-                              if (!self->socket_.is_open())
-                                  return;
-                              if (self->phase_ == connection_phase::idle)
-                                  self->progress_.begin(self->owner_.running_time());
-                              self->progress_.add(self->owner_.running_time(), bytes,
-                                                  self->parser_->is_header_done()
-                                                      ? min_body_bytes
-                                                      : min_header_bytes);
-                              if (bytes > 0)
-                                  self->owner_.gate().on_progress(self->id_);
-                              self->on_read_some(error);
-                          });
+    buffer_.max_size(owner_.header_bytes() + read_ahead_bytes);
+    const auto room = buffer_.max_size() - std::min(buffer_.max_size(), buffer_.size());
+    if (room == 0)
+        return refuse(431, refusal_cause::long_header);
+    socket_.async_read_some(buffer_.prepare(std::min(room, read_bytes)),
+                            [self = shared_from_this()](error_code error, std::size_t bytes)
+                            {
+                                if (!self->socket_.is_open())
+                                    return;
+                                if (error)
+                                    return self->close();
+                                self->on_bytes(bytes);
+                            });
+}
+
+void http_session::on_bytes(std::size_t bytes)
+{
+    const auto now = owner_.running_time();
+    buffer_.commit(bytes);
+    if (phase_ == connection_phase::idle)
+        progress_.begin(now);
+    progress_.add(now, bytes, has_header_ ? min_body_bytes : min_header_bytes);
+    owner_.gate().on_progress(id_);
+    parse();
 }
 
-void http_session::on_read_some(error_code error)
+/// Parses what has been read, with the limits in force when the request began.
+void http_session::parse()
 {
+    if (!parser_)
+    {
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(owner_.header_bytes());
+        parser_->body_limit(owner_.settings().max_body_bytes);
+    }
+    error_code error;
+    while (!error && buffer_.size() > 0 && !parser_->is_done())
+        buffer_.consume(parser_->put(buffer_.data(), error));
     if (error == http::error::body_limit)
         return refuse(413, refusal_cause::long_body);
-    if (error == http::error::header_limit || error == http::error::buffer_overflow)
+    if (error == http::error::header_limit)
         return refuse(431, refusal_cause::long_header);
-    if (error)
+    if (error && error != http::error::need_more)
         return close();
-    if (!has_header_ && parser_->is_header_done())
-    {
-        has_header_ = true;
-        std::size_t count = 0;
-        for (const auto& field : parser_->get())
-        {
-            ++count;
-            field_bytes_ += field_cost + field.name_string().size() + field.value().size();
-        }
-        if (count > max_header_fields)
-            return refuse(431, refusal_cause::long_header);
-        progress_.begin(owner_.running_time());
-    }
+    if (!has_header_ && parser_->is_header_done() && !on_header())
+        return refuse(431, refusal_cause::long_header);
     if (parser_->is_done())
         return on_request();
-    account(connection_phase::receiving,
-            buffer_.capacity() + field_bytes_ + parser_->get().body().capacity());
+    report_to_budget(connection_phase::receiving,
+                     buffer_.capacity() + field_bytes_ + parser_->get().body().capacity());
     read_some();
 }
 
+/// @return whether the header has no more fields than allowed
+bool http_session::on_header()
+{
+    has_header_ = true;
+    std::size_t count = 0;
+    for (const auto& field : parser_->get())
+    {
+        ++count;
+        field_bytes_ += field_cost + field.name_string().size() + field.value().size();
+    }
+    progress_.begin(owner_.running_time());
+    return count <= max_header_fields;
+}
+
 void http_session::on_request()
 {
     auto message = parser_->release();
@@ -136,12 +161,14 @@
     const auto bytes = buffer_.capacity() + request.body.capacity();
     if (!owner_.gate().can_serve(bytes))
     {
+        // No status: the request may concern a job that is in progress, which a refusal as not run
+        // would deny.
         owner_.gate().count(refusal_cause::memory);
-        return respond({503, "", "", busy_retry_ms}, true);
+        return close();
     }
     request_id_ = owner_.register_request(shared_from_this());
     awaiting_response_ = true;
-    account(connection_phase::serving, bytes);
+    report_to_budget(connection_phase::serving, bytes);
     const auto id = request_id_;
     owner_.handle(id, std::move(request));
     if (awaiting_response_)
@@ -155,11 +182,11 @@
         owner_.gate().count(refusal_cause::memory);
         return false;
     }
-    account(connection_phase::serving, buffer_.capacity() + bytes);
+    report_to_budget(connection_phase::serving, buffer_.capacity() + bytes);
     return true;
 }
 
-void http_session::account(connection_phase phase, std::uint64_t bytes)
+void http_session::report_to_budget(connection_phase phase, std::uint64_t bytes)
 {
     phase_ = phase;
     owner_.gate().update(id_, phase, bytes);
@@ -248,7 +275,7 @@
         response_ += "Connection: close\r\n";
     response_ += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body;
     progress_.begin(owner_.running_time());
-    account(connection_phase::sending, buffer_.capacity() + response_.capacity());
+    report_to_budget(connection_phase::sending, buffer_.capacity() + response_.capacity());
     if (!socket_.is_open())
         return;
     // The completion condition is called after each partial write.
--- a/src/connection/http_session.hpp
+++ b/src/connection/http_session.hpp
@@ -56,7 +56,9 @@
 private:
     void read();
     void read_some();
-    void on_read_some(boost::system::error_code error);
+    void on_bytes(std::size_t bytes);
+    void parse();
+    bool on_header();
     void on_request();
     void refuse(unsigned status, refusal_cause cause);
     /// What can be read from a connection without waiting.
@@ -70,7 +72,7 @@
     readable_input peek();
     void watch_for_close();
     /// Reports to the budget what the connection holds.
-    void account(connection_phase phase, std::uint64_t bytes);
+    void report_to_budget(connection_phase phase, std::uint64_t bytes);
 
     http_session_owner& owner_;
     boost::asio::ip::tcp::socket socket_;
--- a/src/connection/loop_http_server.cpp
+++ b/src/connection/loop_http_server.cpp
@@ -24,8 +24,9 @@
 
 /// Longest header when the operators set no limit, in bytes.
 constexpr std::uint32_t default_header_bytes = 16U << 10U;
-constexpr std::uint32_t max_header_bytes = 64U << 10U;
-constexpr std::uint64_t max_body_bytes = 6U << 20U;
+/// Upper bounds of the operators' limits, in bytes.
+constexpr std::uint32_t header_bytes_ceiling = 64U << 10U;
+constexpr std::uint64_t body_bytes_ceiling = 6U << 20U;
 constexpr duration default_header_interval = std::chrono::milliseconds(3000);
 constexpr duration sweep_interval = std::chrono::milliseconds(500);
 /// Time after which connections are accepted again when the system has no descriptor for one.
@@ -79,10 +80,10 @@
     {
         settings_.max_body_bytes =
             limits.max_body_bytes > 0
-                ? std::min<std::uint64_t>(limits.max_body_bytes, max_body_bytes)
+                ? std::min<std::uint64_t>(limits.max_body_bytes, body_bytes_ceiling)
                 : configured_body_bytes_;
         header_bytes_ = limits.max_header_bytes > 0
-                            ? std::min(limits.max_header_bytes, max_header_bytes)
+                            ? std::min(limits.max_header_bytes, header_bytes_ceiling)
                             : default_header_bytes;
         header_interval_ = limits.header_timeout_ms > 0
                                ? std::chrono::milliseconds(limits.header_timeout_ms)
@@ -162,8 +163,9 @@
                 swept_at_ = now;
                 const std::vector<std::shared_ptr<http_session>> open(sessions_.begin(),
                                                                       sessions_.end());
+                // A transfer that began just before a sweep is not charged for the time before it.
                 for (const auto& each : open)
-                    each->check_progress(running_time_);
+                    each->check_progress(running_time_ - 2 * sweep_interval);
                 sweep();
             });
     }
--- a/src/process/leased_dispatcher.cpp
+++ b/src/process/leased_dispatcher.cpp
@@ -21,9 +21,6 @@
 /// proportional to the number of agents.
 constexpr auto dispatch_interval_per_agent = std::chrono::microseconds(25);
 constexpr std::size_t agents_without_dispatch_interval = 32;
-/// Agents connect to a new entry within this time. Until then a job that no connected worker may
-/// run is not refused but waits, at most until its latest start.
-constexpr auto startup_grace_period = milliseconds(1000);
 
 /// @return a number from 0 to 1 that is always the same for this entry and agent.
 double tie_break_penalty(const std::string& entry, const std::string& agent)
--- a/src/process/leased_dispatcher_evacuation.cpp
+++ b/src/process/leased_dispatcher_evacuation.cpp
@@ -32,8 +32,12 @@
     // Domains that are used again may have room.
     resources_freed_ = true;
     std::vector<std::string> waiting;
+    // The agents of a new entry connect within the grace period.
     for (const auto& [rank, id] : waiting_)
-        waiting.push_back(id);
+    {
+        if (now - started_ > startup_grace_period)
+            waiting.push_back(id);
+    }
     for (const auto& id : waiting)
     {
         const auto found = jobs_.find(id);
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -21,6 +21,8 @@
 constexpr auto answer_flush_time = milliseconds(100);
 /// A stopping entry accepts only jobs that should end this long before final_answer_time().
 constexpr auto admission_margin = milliseconds(200);
+/// Retry-After of a job for which there is no memory, in milliseconds.
+constexpr std::uint32_t busy_retry_ms = 1000;
 /// Time between ticks while jobs are in progress.
 constexpr auto busy_tick_interval = milliseconds(20);
 /// Longest announcement that is read before it is refused; as at agents.
@@ -56,11 +58,14 @@
              dispatcher_.on_channel_open(process_.now(), channel);
              if (const auto version = configuration_.current().version; version > 0)
                  channels_->send(channel, configuration_notice{version});
+             evacuations_.on_channel_open(process_.now(), channel);
+             inform_agents_of_evacuations(process_.now());
          },
          [this](channel_id channel)
          {
              dispatcher_.on_channel_lost(process_.now(), channel);
              configuration_.on_channel_lost(channel);
+             evacuations_.on_channel_lost(channel);
              apply_effects();
          },
          [this](channel_id channel, const lease_frame& frame) { on_frame(channel, frame); }},
@@ -198,14 +203,16 @@
                     : protocol.malformed());
         return;
     }
-    if (!caller_server_->reserve(id, job.value().memory_bytes()))
+    // A refusal of a job that is in progress, and was sent again, would not be true.
+    const bool in_progress = dispatcher_.has_job(job.value().id);
+    if (!in_progress && !caller_server_->reserve(id, job.value().memory_bytes()))
     {
-        caller_server_->respond(
-            id, protocol.job_ended({leased_outcome::refused, leased_reason::overloaded, 1000}));
+        caller_server_->respond(id, protocol.job_ended({leased_outcome::refused,
+                                                        leased_reason::overloaded, busy_retry_ms}));
         return;
     }
     const auto allowed_time = leased_dispatcher::allowed_response_time(job.value(), rule);
-    if (stopping_ && now + allowed_time + admission_margin > final_answer_time())
+    if (!in_progress && stopping_ && now + allowed_time + admission_margin > final_answer_time())
     {
         caller_server_->respond(
             id, protocol.job_ended({leased_outcome::refused, leased_reason::shutting_down, 1}));
--- a/src/process/leased_job_ends.cpp
+++ b/src/process/leased_job_ends.cpp
@@ -102,6 +102,14 @@
         counters_.jobs_hopeless += now < job.deadline ? 1 : 0;
         answer(now, found, final_answer(job, leased_reason::deadline_passed));
         return;
+    case job_verdict::resume:
+        // Before the last answers of this process nothing is placed any more.
+        if (!ending_)
+        {
+            job.exposure.resume();
+            enqueue(now, job);
+        }
+        break;
     case job_verdict::wait:
         break;
     }
@@ -138,6 +146,7 @@
 
 void leased_dispatcher::take_back_all_jobs(instant now)
 {
+    ending_ = true;
     std::vector<std::string> open;
     for (const auto& [id, job] : jobs_)
         open.push_back(id);
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -201,7 +201,7 @@
 {
     const auto elapsed = now - task.started_at;
     const duration declared = milliseconds(task.declared_ms);
-    if (declared == duration(0) || !worker_is_cold(task.started_at))
+    if (declared == duration(0) || !task.started_cold)
     {
         pace_.on_run_done(now, elapsed, declared);
         return;
@@ -218,12 +218,10 @@
         return pace_.usual_slowness() * cold_start_.factor();
     if (!options_.mechanisms.judge_latest_runs)
         return pace_.usual_slowness();
-    // Earlier in a run, its progress is too coarse.
-    constexpr std::uint32_t min_percent = 2;
     std::vector<double> running;
     for (const auto& [id, task] : tasks_)
     {
-        if (task.state == task_state::running && task.progress.percent >= min_percent)
+        if (task.state == task_state::running && task.progress.shows_pace())
             running.push_back(task.min_slowness);
     }
     return pace_.slowness(now, running);
@@ -317,6 +315,7 @@
     task.confirmed = false;
     task.request_sent_at = now;
     task.started_at = now;
+    task.started_cold = worker_is_cold(now);
     task.progress = {};
     task.in_doubt = false;
     task.request_fence = fence_;
--- a/src/process/task_host_worker.cpp
+++ b/src/process/task_host_worker.cpp
@@ -310,7 +310,7 @@
             task->conclusive_renewal = last_renewal_number_ + 1;
             task->progress.changed_ms = listing.clock_ms;
         }
-        else if (task->state == task_state::running)
+        else if (task->state == task_state::running && !outdated)
             check_progress(now, *task, percent_done, listing.clock_ms);
     }
     if (!outdated)
@@ -334,7 +334,7 @@
 {
     const auto no_progress_ms = task.progress.update(percent_done, clock_ms);
     task.min_slowness =
-        min_slowness(now - task.started_at, percent_done, milliseconds(task.declared_ms));
+        min_slowness(now - task.started_at, task.progress.percent, milliseconds(task.declared_ms));
     const bool stalled =
         options_.mechanisms.stop_stalled_runs &&
         milliseconds(no_progress_ms) >= stall_limit(milliseconds(task.declared_ms));
@@ -356,6 +356,7 @@
 bool task_host::outlives_worker(instant now, const hosted_task& task) const
 {
     return options_.mechanisms.restart_departing_runs && worker_ && worker_->leaves_after &&
+           task.progress.shows_pace() &&
            restart_elsewhere({now - task.started_at, task.progress.percent,
                               milliseconds(task.declared_ms), task.caller_leaves_at - now},
                              *worker_->leaves_after - (now - announced_at_));
--- a/src/request/task_exposure.cpp
+++ b/src/request/task_exposure.cpp
@@ -26,7 +26,11 @@
     if (now >= times.deadline)
         return job_verdict::give_up;
     if (exposure.taking_back())
-        return hopeless && exposure.answered(now) ? job_verdict::give_up : job_verdict::wait;
+    {
+        if (!exposure.answered(now))
+            return job_verdict::wait;
+        return hopeless ? job_verdict::give_up : job_verdict::resume;
+    }
     if (!exposure.can_be_cleared())
         return hopeless ? job_verdict::give_up : job_verdict::wait;
     return hopeless || now >= take_back_time(now, times) ? job_verdict::take_back
--- a/tests/connection/handler_errors_test.cpp
+++ b/tests/connection/handler_errors_test.cpp
@@ -104,12 +104,40 @@
     const auto bad = client->dial(frame_address);
     const auto good = client->dial(frame_address);
     run_until(loop, [&] { return open == 2; });
+    // A channel that doesn't begin with this message is closed for that reason.
+    client->send(bad, agent_hello{"bad", 1});
+    client->send(good, agent_hello{"good", 1});
+    run_until(loop, [&] { return frames == 2; });
+    BOOST_TEST(lost.empty());
     client->send(bad, withdraw_job{"job"});
     run_until(loop, [&] { return !lost.empty(); });
     BOOST_TEST((lost == std::vector<frame_channels::channel>{bad}));
     client->send(good, lease_renewal{1});
-    run_until(loop, [&] { return frames == 2; });
-    BOOST_TEST(frames == 2U);
+    run_until(loop, [&] { return frames == 4; });
+    BOOST_TEST(frames == 4U);
+}
+
+/// Guards against clients that keep a channel of the system's processes for themselves.
+BOOST_AUTO_TEST_CASE(a_channel_that_does_not_begin_as_an_agents_is_closed)
+{
+    boost::asio::io_context loop;
+    std::size_t frames = 0;
+    auto server = frame_channels::create(
+        loop, {[](frame_channels::channel) {}, [](frame_channels::channel) {},
+               [&](frame_channels::channel, const lease_frame&) { ++frames; }});
+    BOOST_REQUIRE(server->listen(frame_address).has_value());
+    std::vector<frame_channels::channel> lost;
+    bool open = false;
+    auto client = frame_channels::create(
+        loop, {[&](frame_channels::channel) { open = true; },
+               [&](frame_channels::channel channel) { lost.push_back(channel); },
+               [](frame_channels::channel, const lease_frame&) {}});
+    const auto stranger = client->dial(frame_address);
+    run_until(loop, [&] { return open; });
+    client->send(stranger, lease_renewal{1});
+    run_until(loop, [&] { return !lost.empty(); });
+    BOOST_TEST((lost == std::vector<frame_channels::channel>{stranger}));
+    BOOST_TEST(frames == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/connection/loop_http_server_test.cpp
+++ b/tests/connection/loop_http_server_test.cpp
@@ -173,4 +173,34 @@
     BOOST_TEST(f.status_line(*whole) == "HTTP/1.1 200");
 }
 
+/// Load pattern: many clients that send the greater part of a header and stop.
+BOOST_AUTO_TEST_CASE(headers_that_stop_short_are_counted_and_closed)
+{
+    limited_fixture f;
+    f.server->set_limits({0, 0, 500, 0});
+    const auto half = f.send("GET /job HTTP/1.1\r\na: " + std::string(5000, 'x'));
+    BOOST_TEST(f.gate->budget().bytes() >= 5000U);
+    for (int i = 0; i < 100 && f.gate->count_of(refusal_cause::slow_request) == 0; ++i)
+        f.run();
+    BOOST_TEST(f.gate->count_of(refusal_cause::slow_request) == 1U);
+    BOOST_TEST(f.gate->budget().bytes() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_header_in_pieces_is_served_with_the_limits_in_force_when_it_begins)
+{
+    limited_fixture f;
+    const auto client = f.send("");
+    f.server->set_limits({0, 1000, 0, 0});
+    for (const std::string piece :
+         {"POST /job HT", "TP/1.1\r\nContent-Le", "ngth: 2\r\n\r\n", "{", "}"})
+    {
+        boost::asio::write(*client, boost::asio::buffer(piece));
+        f.run();
+    }
+    BOOST_TEST(f.status_line(*client) == "HTTP/1.1 200");
+    boost::asio::write(*client, boost::asio::buffer(std::string(
+                                    "POST /job HTTP/1.1\r\nContent-Length: 1001\r\n\r\n{")));
+    BOOST_TEST(f.status_line(*client) == "HTTP/1.1 413");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/truthful_ends_test.cpp
+++ b/tests/process/truthful_ends_test.cpp
@@ -119,6 +119,31 @@
 
 BOOST_AUTO_TEST_SUITE(truthful_ends_tests)
 
+/// Guards against jobs of which nothing is placed any more because their agents were asked once.
+BOOST_AUTO_TEST_CASE(a_task_that_fails_after_its_job_was_asked_about_is_placed_again)
+{
+    fixture f(2);
+    f.rule.max_attempts = 3;
+    job_step long_step;
+    long_step.task_count = 1;
+    long_step.demand = {1600, 64, 0};
+    long_step.declared_ms = 900;
+    auto short_step = long_step;
+    short_step.declared_ms = 50;
+    f.entry.submit(f.now, 1, {"one", "spec", {long_step, short_step}, 3000, {}}, f.rule);
+    f.collect_effects();
+    BOOST_REQUIRE_EQUAL(f.placed.size(), 2U);
+    f.advance(milliseconds(2600));
+    BOOST_REQUIRE(!f.asked.empty());
+    for (const auto channel : std::vector<channel_id>(f.asked))
+        f.receive(channel, job_taken_back{"one"});
+    f.report(1, 3200);
+    f.report(2, 3200);
+    f.receive(f.placed[1], task_end{"one", 1, 0, 1, task_end_kind::failed, 50});
+    BOOST_TEST(f.placed.size() == 3U);
+    BOOST_TEST(f.answers.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_job_that_only_waits_at_an_agent_is_taken_back_and_refused)
 {
     fixture f(1);
--- a/tests/request/task_exposure_test.cpp
+++ b/tests/request/task_exposure_test.cpp
@@ -87,6 +87,9 @@
     exposure.take_back({1}, asked + take_back_wait);
     exposure.on_taken_back(1);
     const job_times running{early.deadline, asked, asked + milliseconds(200)};
+    BOOST_TEST(is(judge_job(asked, exposure, running), job_verdict::resume));
+    exposure.resume();
+    BOOST_TEST(!exposure.taking_back());
     BOOST_TEST(is(judge_job(asked, exposure, running), job_verdict::wait));
     BOOST_TEST((next_judgement(asked, exposure, running) == early.deadline));
 }
