--- a/include/tarragonlock/process/leased_dispatcher.hpp
+++ b/include/tarragonlock/process/leased_dispatcher.hpp
@@ -75,7 +75,7 @@
     /// Jobs that were refused after their agents had returned the tasks that waited there.
     std::uint64_t jobs_taken_back = 0;
     /// Jobs that were answered before their deadline because they could not end in time any more.
-    std::uint64_t jobs_hopeless = 0;
+    std::uint64_t jobs_ended_early = 0;
 };
 
 /// Decision logic of an entry for leased jobs: admission, placement, retries and the answers to
--- a/src/connection/http_session.cpp
+++ b/src/connection/http_session.cpp
@@ -113,8 +113,11 @@
         parser_->body_limit(owner_.settings().max_body_bytes);
     }
     error_code error;
-    while (!error && buffer_.size() > 0 && !parser_->is_done())
-        buffer_.consume(parser_->put(buffer_.data(), error));
+    for (std::size_t parsed = 1; parsed > 0 && !error && !parser_->is_done();)
+    {
+        parsed = buffer_.size() > 0 ? parser_->put(buffer_.data(), error) : 0;
+        buffer_.consume(parsed);
+    }
     if (error == http::error::body_limit)
         return refuse(413, refusal_cause::long_body);
     if (error == http::error::header_limit)
--- a/src/connection/loop_http_server.hpp
+++ b/src/connection/loop_http_server.hpp
@@ -32,7 +32,7 @@
         std::string deadline_header;
         /// Longest request body; a longer one is rejected with status 413.
         std::uint64_t max_body_bytes = 1U << 20U;
-        /// Budget shared by the doors of a process; without one the server has its own.
+        /// Budget shared by the listening ports of a process; without one the server has its own.
         std::shared_ptr<connection_gate> gate;
         /// Whether clients may use the reserved connections of the budget.
         bool is_reserved = false;
--- a/src/process/leased_agent_daemon.hpp
+++ b/src/process/leased_agent_daemon.hpp
@@ -71,7 +71,7 @@
     boost::asio::io_context& loop_;
     leased_agent_settings settings_;
     leased_agent_protocols protocols_;
-    /// Bounds what connections of clients hold at all doors.
+    /// Bounds what connections of clients hold at all listening ports.
     std::shared_ptr<connection_gate> gate_;
     task_host host_;
     loop_store_client store_;
--- a/src/process/leased_dispatcher_timers.cpp
+++ b/src/process/leased_dispatcher_timers.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-using std::chrono::milliseconds;
-
 /// An agent counts as lost after caller_resend_delay divided by this without a message.
 constexpr int agent_timeout_divisor = 2;
 /// Factor on the timeout of agents without tasks of this entry, which report less often.
@@ -105,11 +103,7 @@
     auto workers = all;
     place_job(now, job, all, workers, cpu_utilization(all), start_mode::partial_allowed);
     if (!job.may_have_started())
-        answer(now, found,
-               {leased_outcome::refused, leased_reason::overloaded,
-                static_cast<std::uint32_t>(
-                    std::chrono::duration_cast<milliseconds>(job.response_due - job.accepted)
-                        .count())});
+        answer(now, found, final_answer(job, leased_reason::overloaded));
 }
 
 } // namespace tarragonlock
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -385,7 +385,7 @@
            counter_text("tasks_stopped_total", counts.tasks_stopped) +
            counter_text("agents_lost_total", counts.agents_lost) +
            counter_text("jobs_taken_back_total", counts.jobs_taken_back) +
-           counter_text("jobs_hopeless_total", counts.jobs_hopeless) +
+           counter_text("jobs_ended_early_total", counts.jobs_ended_early) +
            counter_text("malformed_requests_total", malformed_requests_) +
            counter_text("abandoned_requests_total", abandoned_requests_) +
            counter_text("store_calls_total", store_.call_count()) +
--- a/src/process/leased_entry_daemon.hpp
+++ b/src/process/leased_entry_daemon.hpp
@@ -67,7 +67,7 @@
     boost::asio::io_context& loop_;
     leased_entry_settings settings_;
     leased_entry_protocols protocols_;
-    /// Bounds what connections of clients hold at all doors.
+    /// Bounds what connections of clients hold at all listening ports.
     std::shared_ptr<connection_gate> gate_;
     leased_dispatcher dispatcher_;
     loop_store_client store_;
--- a/src/process/leased_job_ends.cpp
+++ b/src/process/leased_job_ends.cpp
@@ -99,7 +99,7 @@
         answer(now, found, final_answer(job, leased_reason::deadline_passed));
         return;
     case job_verdict::give_up:
-        counters_.jobs_hopeless += now < job.deadline ? 1 : 0;
+        counters_.jobs_ended_early += now < job.deadline ? 1 : 0;
         answer(now, found, final_answer(job, leased_reason::deadline_passed));
         return;
     case job_verdict::resume:
--- a/src/request/task_exposure.cpp
+++ b/src/request/task_exposure.cpp
@@ -20,21 +20,22 @@
 
 job_verdict judge_job(instant now, const job_exposure& exposure, const job_times& times)
 {
-    const bool hopeless = now >= times.deadline || times.earliest_end > times.deadline;
+    const bool cannot_be_in_time = now >= times.deadline || times.earliest_end > times.deadline;
     if (!exposure.may_have_started())
-        return hopeless || exposure.taking_back() ? job_verdict::refuse : job_verdict::wait;
+        return cannot_be_in_time || exposure.taking_back() ? job_verdict::refuse
+                                                           : job_verdict::wait;
     if (now >= times.deadline)
         return job_verdict::give_up;
     if (exposure.taking_back())
     {
         if (!exposure.answered(now))
             return job_verdict::wait;
-        return hopeless ? job_verdict::give_up : job_verdict::resume;
+        return cannot_be_in_time ? job_verdict::give_up : job_verdict::resume;
     }
     if (!exposure.can_be_cleared())
-        return hopeless ? job_verdict::give_up : job_verdict::wait;
-    return hopeless || now >= take_back_time(now, times) ? job_verdict::take_back
-                                                         : job_verdict::wait;
+        return cannot_be_in_time ? job_verdict::give_up : job_verdict::wait;
+    return cannot_be_in_time || now >= take_back_time(now, times) ? job_verdict::take_back
+                                                                  : job_verdict::wait;
 }
 
 instant next_judgement(instant now, const job_exposure& exposure, const job_times& times)
@@ -45,7 +46,7 @@
         if (when > now)
             next = std::min(next, when);
     };
-    // The job becomes hopeless one microsecond after its last chance.
+    // The job can't be in time any more one microsecond after its last chance.
     consider(times.deadline - (times.earliest_end - now) + duration(1));
     if (exposure.taking_back())
         consider(exposure.answers_due());
--- a/tests/connection/loop_http_server_test.cpp
+++ b/tests/connection/loop_http_server_test.cpp
@@ -164,8 +164,10 @@
 {
     limited_fixture f;
     const auto start = std::string("POST /job HTTP/1.1\r\nContent-Length: 300000\r\n\r\n");
+    constexpr std::size_t clients = 4;
     std::vector<std::shared_ptr<tcp::socket>> stopped;
-    for (int i = 0; i < 4; ++i)
+    stopped.reserve(clients);
+    for (std::size_t i = 0; i < clients; ++i)
         stopped.push_back(f.send(start + std::string(150'000, 'x')));
     BOOST_TEST(f.gate->count_of(refusal_cause::memory) > 0U);
     BOOST_TEST(f.gate->budget().bytes() <= 500'000U);
--- a/tests/process/truthful_ends_test.cpp
+++ b/tests/process/truthful_ends_test.cpp
@@ -201,7 +201,7 @@
     BOOST_TEST(f.answers.empty());
     f.advance(milliseconds(100));
     BOOST_TEST(f.answered(leased_outcome::given_up));
-    BOOST_TEST(f.entry.counters().jobs_hopeless == 1U);
+    BOOST_TEST(f.entry.counters().jobs_ended_early == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_job_is_answered_when_its_agent_is_lost_too_late_to_start_it_again)
--- a/tests/request/task_exposure_test.cpp
+++ b/tests/request/task_exposure_test.cpp
@@ -55,28 +55,28 @@
     BOOST_TEST(is(judge_job(early.deadline, ended, early), job_verdict::give_up));
 }
 
-BOOST_AUTO_TEST_CASE(a_hopeless_job_is_answered_before_its_deadline)
+BOOST_AUTO_TEST_CASE(a_job_that_cannot_be_in_time_is_answered_before_its_deadline)
 {
-    const job_times hopeless{start + milliseconds(300), start + milliseconds(400),
+    const job_times too_late{start + milliseconds(300), start + milliseconds(400),
                              start + milliseconds(400)};
-    BOOST_TEST(is(judge_job(start, job_exposure(), hopeless), job_verdict::refuse));
+    BOOST_TEST(is(judge_job(start, job_exposure(), too_late), job_verdict::refuse));
 
     job_exposure begun;
     begun.on_offered(2);
     begun.on_ended();
-    BOOST_TEST(is(judge_job(start, begun, hopeless), job_verdict::give_up));
+    BOOST_TEST(is(judge_job(start, begun, too_late), job_verdict::give_up));
 
     job_exposure offered;
     offered.on_offered(2);
-    BOOST_TEST(is(judge_job(start, offered, hopeless), job_verdict::take_back));
+    BOOST_TEST(is(judge_job(start, offered, too_late), job_verdict::take_back));
     offered.take_back({1, 2}, start + take_back_wait);
     offered.on_returned();
     offered.on_taken_back(1);
-    BOOST_TEST(is(judge_job(start, offered, hopeless), job_verdict::wait));
-    BOOST_TEST((next_judgement(start, offered, hopeless) == start + take_back_wait));
-    BOOST_TEST(is(judge_job(start + take_back_wait, offered, hopeless), job_verdict::give_up));
+    BOOST_TEST(is(judge_job(start, offered, too_late), job_verdict::wait));
+    BOOST_TEST((next_judgement(start, offered, too_late) == start + take_back_wait));
+    BOOST_TEST(is(judge_job(start + take_back_wait, offered, too_late), job_verdict::give_up));
     offered.on_taken_back(2);
-    BOOST_TEST(is(judge_job(start, offered, hopeless), job_verdict::give_up));
+    BOOST_TEST(is(judge_job(start, offered, too_late), job_verdict::give_up));
 }
 
 BOOST_AUTO_TEST_CASE(a_job_whose_tasks_all_run_keeps_its_time)
