Review case 14: a required label named service is met by every worker

Replaces the cases on a worker's earlier capacity and on max_per_server, whose causes review/8 and review/9 show. task_host::description puts the service into the worker's labels under the key "service". The stand-ins lose what only the dropped cases used.

--- a/review/15/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" && exec python3 case.py
--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -12,7 +12,6 @@
 import pathlib
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
@@ -29,7 +28,6 @@
 MAX_HOLD_MS = 1000
 RESEND_S = 1.3
 STOP_S = 0.045  # stop_timeout_ms is 50
-CUT_OFF = object()
 
 
 class Record:
@@ -85,13 +83,11 @@
 class Store(QuietServer):
     """Keys with revisions and leases, watches and transactions."""
 
-    def __init__(self, address, rewrite=None):
+    def __init__(self, address):
         super().__init__(address, StoreHandler)
         self.changed = threading.Condition()
         self.items, self.events, self.leases = {}, [], {}
         self.revision, self.last_lease = 1, 0
-        # Replaces the port in the registrations of entries, where a proxy stands before them.
-        self.rewrite = rewrite
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def expire(self):
@@ -113,8 +109,6 @@
 
     def put(self, key, value, lease=0):
         with self.changed:
-            if self.rewrite and key.startswith("tarragonlock/entries/"):
-                value = value.replace(*self.rewrite)
             self.revision += 1
             created = self.items[key]["created"] if key in self.items else self.revision
             item = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease,
@@ -195,62 +189,36 @@
     job says it.
     """
 
-    def __init__(self, fleet, name, address, agent, service="desk", capacity=4000, labels=()):
+    def __init__(self, fleet, name, address, agent, service="desk", capacity=4000, labels=(),
+                 max_reports=None):
         super().__init__(address, WorkerHandler)
         self.fleet, self.name, self.agent, self.service = fleet, name, agent, service
         self.address = f"{address[0]}:{address[1]}"
         self.changed = threading.Condition(fleet.run_lock)
-        self.cut = False      # no byte passes between the worker and its machine
-        self.up = False
-        self.life = 0
+        self.born_at, self.born = time.monotonic(), int(time.time() * 1000)
+        self.capacity, self.labels, self.max_reports = capacity, list(labels), max_reports
+        self.running, self.ended, self.barred = {}, [], {}
+        self.last_end = self.fence = self.lease_end = self.seq = 0
         self.confirmed = False  # whether a report has been confirmed
         self.answered_at, self.longest_silence = time.monotonic(), 0.0
-        self.state = "ready"
-        self.start(capacity, labels)
-        threading.Thread(target=self.serve_forever, daemon=True).start()
-        threading.Thread(target=self.tick, daemon=True).start()
-
-    def start(self, capacity, labels=()):
-        """Begins a new lifetime under the same id and at the same address."""
-        with self.changed:
-            self.life += 1
-            self.born_at, self.born = time.monotonic(), int(time.time() * 1000)
-            self.capacity, self.labels = capacity, list(labels)
-            self.running, self.ended, self.barred = {}, [], {}
-            self.last_end = self.fence = self.lease_end = self.seq = 0
-            self.up = True
-            self.changed.notify_all()
-        self.fleet.record.note(f"{self.name} starts: born {self.born}, capacity {capacity}, "
-                               f"labels {self.labels}")
-        threading.Thread(target=self.report, args=(self.life,), daemon=True).start()
-
-    def crash(self):
-        with self.changed:
-            self.up = False
-            lost, self.running = sorted(self.running), {}
-            self.changed.notify_all()
-        self.fleet.record.note(f"{self.name} crashes with {lost}")
+        fleet.record.note(f"{name} starts: capacity {capacity}, labels {self.labels}")
+        for each in (self.serve_forever, self.tick, self.report):
+            threading.Thread(target=each, daemon=True).start()
 
     def clock(self):
         return 1000 + int((time.monotonic() - self.born_at) * 1000)
 
-    def report(self, life):
-        while True:
+    def report(self):
+        while self.max_reports is None or self.seq < self.max_reports:
             with self.changed:
-                if self.life != life or not self.up:
-                    return
                 self.seq += 1
                 body = {"service": self.service, "address": self.address, "zone": "z-1",
-                        "version": "v1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
+                        "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
                         "capacity": {"cpu": self.capacity, "mem_mb": 65536, "gpu": 0},
                         "labels": self.labels, "clock_ms": self.clock(), "seq": self.seq,
                         "born": self.born}
-                reachable = not self.cut
             began = time.monotonic()
-            if reachable:
-                status, _ = call(self.agent, "PUT", f"/-/instances/{self.name}", body, timeout=1)
-            else:
-                status = 0
+            status, _ = call(self.agent, "PUT", f"/-/instances/{self.name}", body, timeout=1)
             self.confirmed = self.confirmed or status == 200
             now = time.monotonic()
             self.longest_silence = max(self.longest_silence, now - self.answered_at)
@@ -285,11 +253,8 @@
         self.lease_end = max(self.lease_end, min(deadline, self.clock() + MAX_HOLD_MS))
 
     def execute(self, path, expected, body):
-        """Returns the status and the answer to a call of the agent, or CUT_OFF."""
+        """Returns the status and the answer to a call of the agent."""
         with self.changed:
-            if self.cut or not self.up:
-                return CUT_OFF, None
-            life = self.life
             if path == "/-/run-start" and expected not in (None, self.name):
                 return 421, {"clock_ms": self.clock()}
             if body["fence"] < self.fence:
@@ -309,10 +274,8 @@
                 self.extend(body["deadline_ms"])
             self.ended = [e for e in self.ended if e[0] > body["ack_cursor"]]
             end = time.monotonic() + body.get("wait_ms", 0) / 1000
-            while not self.ended and (left := end - time.monotonic()) > 0 and self.life == life:
+            while not self.ended and (left := end - time.monotonic()) > 0:
                 self.changed.wait(left)
-            if self.cut or not self.up or self.life != life:
-                return CUT_OFF, None
             now = time.monotonic()
             running = [[t, r["run"], "", min(99, int(100 * (now - r["began"]) / r["s"])),
                         r["cpu"]] for t, r in self.running.items()]
@@ -342,75 +305,9 @@
     def do_POST(self):
         status, value = self.server.execute(
             self.path, self.headers.get("X-Tarragonlock-Expect-Instance"), self.body())
-        if status is CUT_OFF:
-            # The bytes of this channel are lost; the caller sees no answer.
-            self.close_connection = True
-            self.connection.settimeout(2)
-            try:
-                self.connection.recv(1)
-            except OSError:
-                pass
-            return
         self.reply(status, value)
 
 
-# A proxy before an address.
-
-class Proxy:
-    """Passes bytes between callers of one address and another one, and can reset all channels."""
-
-    def __init__(self, listen, target):
-        self.target, self.pairs, self.lock = target, [], threading.Lock()
-        self.server = socket.create_server(listen)
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            near, _ = self.server.accept()
-            try:
-                far = socket.create_connection(self.target, timeout=1)
-            except OSError:
-                reset(near)
-                continue
-            for each in (near, far):
-                each.settimeout(None)
-                each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            with self.lock:
-                self.pairs.append((near, far))
-            for source, sink in ((near, far), (far, near)):
-                threading.Thread(target=self.pass_on, args=(source, sink), daemon=True).start()
-
-    def pass_on(self, source, sink):
-        try:
-            while data := source.recv(65536):
-                sink.sendall(data)
-        except OSError:
-            pass
-        reset(source)
-        reset(sink)
-
-    def reset_channels(self, share=1.0):
-        """Resets this share of the open channels, the oldest first, and returns their number."""
-        with self.lock:
-            self.pairs = [pair for pair in self.pairs if pair[0].fileno() >= 0]
-            pairs = self.pairs[:int(share * len(self.pairs))]
-            total = len(self.pairs)
-        for pair in pairs:
-            for each in pair:
-                reset(each)
-        return f"{len(pairs)} of {total}"
-
-
-def reset(connection):
-    """Closes a connection with a reset."""
-    try:
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        connection.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        pass
-    connection.close()
-
-
 # Callers.
 
 def call(address, method, path, body=None, timeout=10.0, headers=None):
@@ -433,27 +330,20 @@
 
     current = None
 
-    def __init__(self, folder, entries=2, agents=2, proxied=False, capacities=None):
+    def __init__(self, folder, entries=2, agents=2, capacities=None, labels=None):
         Fleet.current = self
         self.record = Record(folder)
         self.run_lock = threading.RLock()
-        self.jobs, self.processes, self.workers, self.proxies = {}, {}, [], []
+        self.jobs, self.processes, self.workers = {}, {}, []
         self.on_start = lambda worker, task: None
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self.temporary.name)
         self.entries, self.agents = entries, agents
         self.net = f"127.{(os.getpid() >> 8) % 200 + 20}.{os.getpid() % 250 + 1}"
-        ports = iter(free_ports(8))
-        (self.store_port, self.front, self.ready, self.control, self.peer, self.proxied_peer,
-         self.app, self.app2) = ports
-        rewrite = None
-        if proxied:
-            rewrite = (f":{self.peer}".encode(), f":{self.proxied_peer}".encode())
-        self.store = Store((f"{self.net}.1", self.store_port), rewrite)
-        if proxied:
-            self.proxies = [Proxy((self.entry_ip(i), self.proxied_peer),
-                                  (self.entry_ip(i), self.peer)) for i in range(entries)]
-        self.agent_peer = self.proxied_peer if proxied else self.peer
+        ports = iter(free_ports(7))
+        (self.store_port, self.front, self.ready, self.control, self.peer, self.app,
+         self.app2) = ports
+        self.store = Store((f"{self.net}.1", self.store_port))
         self.publish(1)
         for i in range(entries):
             self.launch("entry", i)
@@ -461,8 +351,10 @@
             self.launch("agent", i)
         for i in range(agents):
             capacity = capacities[i] if capacities else 4000
+            worker_labels = labels[i] if labels else ()
             self.workers.append(Worker(self, f"i-{i}", (self.agent_ip(i), self.app),
-                                       f"{self.agent_ip(i)}:{self.control}", capacity=capacity))
+                                       f"{self.agent_ip(i)}:{self.control}", capacity=capacity,
+                                       labels=worker_labels))
 
     def entry_ip(self, i):
         return f"{self.net}.{10 + i}"
@@ -493,7 +385,7 @@
                             f'listen_readiness: "{ip}:{self.ready}"',
                             f'listen_announcements: "{ip}:{self.control}"',
                             f"peer_port: {self.peer}", "memory_mb: 260", "remote_data_factor: 1.5"]
-        return lines + [f'listen_worker: "{ip}:{self.control}"', f"peer_port: {self.agent_peer}",
+        return lines + [f'listen_worker: "{ip}:{self.control}"', f"peer_port: {self.peer}",
                         f"entry_hints: [{hints}]", "execution_lease_ms: 1000",
                         "announcement_lifetime_ms: 4500", "memory_mb: 128"]
 
@@ -507,10 +399,6 @@
                 env={**environment, "TARRAGONLOCK_BOOT": str(path)})
         self.record.note(f"{role}-{i} launched")
 
-    def signal(self, role, i, number):
-        self.processes[role, i].send_signal(number)
-        self.record.note(f"{role}-{i} gets {signal.Signals(number).name}")
-
     def demand(self, task):
         job, _, step, _ = task.split(".")
         return self.jobs[job]["steps"][int(step)].get("cpu", 0) if job in self.jobs else 0
