request: a worker's service is not one of the labels that steps may require

Cause: an agent described its worker by one map of labels, to which it added the worker's service under the key "service" for the selectors of queues. The checks of a step's required label, and of the rack of its data, looked among the keys of the same map.

Attributes, which selectors match, and labels, which steps require, are now apart and of different types, and one function decides for admission and placement whether a worker may run a step. The layout of frames has a new version.

--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -3,6 +3,7 @@
 #include "tarragonlock/common/result.hpp"
 #include "tarragonlock/request/job.hpp"
 #include "tarragonlock/request/leased_job.hpp"
+#include "tarragonlock/request/worker_eligibility.hpp"
 
 #include <array>
 #include <cstdint>
@@ -27,13 +28,11 @@
 };
 
 /// Properties of an agent's worker; sent when they change.
-struct worker_description
+struct worker_description : worker_properties
 {
     /// False when there is no worker, or when it accepts no more tasks.
     bool accepting = false;
     std::string failure_domain;
-    label_set labels;
-    resource_amount capacity;
     friend bool operator==(const worker_description&, const worker_description&) = default;
 };
 
--- a/include/tarragonlock/process/worker_messages.hpp
+++ b/include/tarragonlock/process/worker_messages.hpp
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -139,8 +140,7 @@
     std::string service;
     std::string address;
     std::string failure_domain;
-    /// Label values by name; empty for a label without a value.
-    label_set labels;
+    std::set<std::string, std::less<>> labels;
     resource_amount capacity;
     /// Whether the worker accepts new tasks.
     bool accepting = false;
--- a/src/connection/lease_codec.cpp
+++ b/src/connection/lease_codec.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Version of the layout of frames between entries and agents of leased jobs.
-constexpr std::uint8_t lease_frame_version = 5;
+constexpr std::uint8_t lease_frame_version = 6;
 /// Longest frame, in bytes; large enough for a configuration of a megabyte.
 constexpr std::size_t max_frame_bytes = 4U << 20U;
 
@@ -39,7 +39,8 @@
 
 TARRAGONLOCK_FIELDS(resource_amount, v.cpu_millis, v.memory_mb, v.accelerators)
 TARRAGONLOCK_FIELDS(agent_hello, v.name, v.incarnation)
-TARRAGONLOCK_FIELDS(worker_description, v.accepting, v.failure_domain, v.labels, v.capacity)
+TARRAGONLOCK_FIELDS(worker_description, v.attributes, v.labels, v.capacity, v.accepting,
+                    v.failure_domain)
 TARRAGONLOCK_FIELDS(agent_report, v.timestamp_us, v.placements_received, v.free_resources,
                     v.queued_cpu, v.mean_run_ms, v.slowness_millis, checked(v.condition))
 TARRAGONLOCK_FIELDS(lease_renewal, v.timestamp_us)
--- a/src/connection/value_codec.hpp
+++ b/src/connection/value_codec.hpp
@@ -6,6 +6,7 @@
 
 #include <cereal/types/array.hpp>
 #include <cereal/types/map.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
--- a/src/process/leased_dispatcher_placement.cpp
+++ b/src/process/leased_dispatcher_placement.cpp
@@ -65,12 +65,8 @@
                                agents_.begin(), agents_.end(),
                                [&](const auto& item)
                                {
-                                   const auto& worker = item.second.worker;
                                    return (usable(item.second) || returns_soon(item.second)) &&
-                                          rule.workers.matches(worker.labels) &&
-                                          step.demand.fits_into(worker.capacity) &&
-                                          (step.required_label.empty() ||
-                                           worker.labels.contains(step.required_label));
+                                          may_run(item.second.worker, step, rule.workers);
                                });
                        });
 }
@@ -121,11 +117,7 @@
     for (const auto& each : all)
     {
         const auto& agent = agents_.at(each.worker);
-        if (!requirements.demand.fits_into(each.capacity) ||
-            !job.rule.workers.matches(agent.worker.labels))
-            continue;
-        if (!requirements.required_label.empty() &&
-            !agent.worker.labels.contains(requirements.required_label))
+        if (!may_run(agent.worker, requirements, job.rule.workers))
             continue;
         auto candidate = each;
         for (std::size_t level = 0; level < reported_priority_count; ++level)
@@ -133,8 +125,7 @@
             if (level <= job.rule.priority)
                 candidate.queued_cpu_millis += agent.load.queued_cpu.at(level);
         }
-        if (!requirements.data_rack.empty() &&
-            !agent.worker.labels.contains(requirements.data_rack))
+        if (!has_data_of(agent.worker, requirements))
             candidate.slowness *= options_.remote_data_factor;
         if (requirements.max_per_worker > 0)
         {
--- a/src/process/task_host.cpp
+++ b/src/process/task_host.cpp
@@ -641,7 +641,7 @@
         return described;
     described.failure_domain = worker_->failure_domain;
     described.labels = worker_->labels;
-    described.labels["service"] = worker_->service;
+    described.attributes["service"] = worker_->service;
     described.capacity = worker_->capacity;
     return described;
 }
--- a/tests/connection/lease_codec_test.cpp
+++ b/tests/connection/lease_codec_test.cpp
@@ -16,7 +16,8 @@
     request.demand = {1600, 64, 1};
     request.tasks = {{0, 1}, {3, 2}};
     worker_description worker;
-    worker.labels = {{"service", "clearing"}};
+    worker.attributes = {{"service", "clearing"}};
+    worker.labels = {"r0-1", "service"};
     return {agent_hello{"worker-0", 7},
             worker,
             agent_report{},
--- a/tests/fakes/leased_fleet.cpp
+++ b/tests/fakes/leased_fleet.cpp
@@ -213,7 +213,7 @@
     auto announcement = agents_[agent].worker->announcement(now_);
     announcement.failure_domain = failure_domain(agent);
     if (options_.racks > 0)
-        announcement.labels[rack_of(agent)] = "";
+        announcement.labels.insert(rack_of(agent));
     return announcement;
 }
 
--- a/tests/platform/decoder_fuzz_test.cpp
+++ b/tests/platform/decoder_fuzz_test.cpp
@@ -117,7 +117,8 @@
     placement.spec = "spec";
     placement.tasks = {{0, 1}, {1, 1}};
     worker_description description;
-    description.labels = {{"service", "desk"}, {"r1-3", ""}};
+    description.attributes = {{"service", "desk"}};
+    description.labels = {"r1-3"};
     const lease_frame frame{agent_hello{"side-1", 7}, description,
                             agent_report{},           placement,
                             report_preference{true},  configuration_copy{3, "{}"}};
--- a/tests/process/leased_dispatcher_test.cpp
+++ b/tests/process/leased_dispatcher_test.cpp
@@ -52,7 +52,8 @@
         worker_description worker;
         worker.accepting = accepting;
         worker.failure_domain = failure_domain;
-        worker.labels = {{"service", "clearing"}, {"r0-1", ""}};
+        worker.attributes = {{"service", "clearing"}};
+        worker.labels = {"r0-1"};
         worker.capacity = {16'000, 65'536, 0};
         entry.on_message(now, channel, worker);
         entry.on_frame_end(now);
--- a/tests/process/task_host_test.cpp
+++ b/tests/process/task_host_test.cpp
@@ -674,7 +674,7 @@
 {
     fixture f;
     auto changed = f.announcement(first_start_time_ms);
-    changed.labels["b"] = "";
+    changed.labels.insert("b");
     changed.capacity = {1600, 512, 0};
     f.host->on_announcement(f.now, changed);
     f.collect_effects();
--- a/tests/process/truthful_ends_test.cpp
+++ b/tests/process/truthful_ends_test.cpp
@@ -25,7 +25,7 @@
             worker_description worker;
             worker.accepting = true;
             worker.failure_domain = "fd-0";
-            worker.labels = {{"service", "clearing"}};
+            worker.attributes = {{"service", "clearing"}};
             worker.capacity = {3200, 1024, 0};
             receive(channel, worker);
             report(channel, 3200);
