platform: names of services are compared as they are, not parsed as selectors

The name of a queue's service was appended to the text of a selector. A comma or a parenthesis in it changed what the queue's selector matches, or made the whole configuration invalid, so that every entry kept its old one. Selectors of queues are now built from the name.

required_labels_tests, the_name_of_a_service_is_compared_as_it_is: failed before for "desk,!x" (the queue's jobs were placed on the workers of "desk", not on its own) and ended at "desk (north)", whose configuration was rejected; holds now.

--- a/include/tarragonlock/version/selector.hpp
+++ b/include/tarragonlock/version/selector.hpp
@@ -56,6 +56,10 @@
     /// @return the selector, or a selector_error
     static result<selector> parse(std::string_view text);
 
+    /// @param value  any text, which is compared as it is
+    /// @return the selector that requires the label to have this value
+    static selector equal(std::string key, std::string value);
+
     bool matches(const label_set& labels) const;
 
     /// @return whether some set of labels satisfies this selector.
--- a/src/version/selector.cpp
+++ b/src/version/selector.cpp
@@ -247,6 +247,13 @@
     return parsed;
 }
 
+selector selector::equal(std::string key, std::string value)
+{
+    selector made;
+    made.requirements_.push_back({std::move(key), selector_operator::in, {std::move(value)}});
+    return made;
+}
+
 bool selector::matches(const label_set& labels) const
 {
     return std::all_of(requirements_.begin(), requirements_.end(),
--- a/tests/platform/required_labels_test.cpp
+++ b/tests/platform/required_labels_test.cpp
@@ -116,4 +116,17 @@
     BOOST_TEST(!f.is_placed("", "service"));
 }
 
+// Guards against names of services that are read as the text of a selector, which rejected the
+// whole configuration or sent a queue to the workers of another service.
+BOOST_AUTO_TEST_CASE(the_name_of_a_service_is_compared_as_it_is)
+{
+    for (const auto* name : {"desk,!x", "desk (north)", "a=b", "=desk", "desk ", "d\u00e9pot"})
+    {
+        fixture exact(name, "[]");
+        BOOST_TEST(exact.is_placed("", name), name);
+        fixture other("desk", "[]");
+        BOOST_TEST(!other.is_placed("", name), name);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
