--- a/tests/process/crowd_clients.py
+++ b/tests/process/crowd_clients.py
@@ -14,9 +14,9 @@
     return ("\r\n".join(lines + [f"{name}: {value}" for name, value in fields]) + "\r\n\r\n").encode()
 
 
-def whole(method, path, body, missing=0):
+def whole(method, path, body, missing=0, fields=()):
     """A request in one piece, without the last bytes of its body. Connections share the body."""
-    return [head(method, path, [("Content-Length", len(body))]),
+    return [head(method, path, [*fields, ("Content-Length", len(body))]),
             memoryview(body)[:len(body) - missing]]
 
 
@@ -38,6 +38,20 @@
             memoryview(chunks)[:len(chunks) - missing]]
 
 
+def endless_extension(method, path, line):
+    """A request whose first chunk has an extension that doesn't end."""
+    return [head(method, path, [("Transfer-Encoding", "chunked")]), b"1;", memoryview(line)]
+
+
+def endless_trailers(method, path, trailers):
+    """A chunked request with an empty body, whose trailers don't end."""
+    return [head(method, path, [("Transfer-Encoding", "chunked")]), b"0\r\n", memoryview(trailers)]
+
+
+def endless_header_line(method, path, line):
+    return [head(method, path, [])[:-2] + b"X-Long: ", memoryview(line)]
+
+
 def short_fields(method, path, body, missing, fields=700):
     """A request of very many short header fields, without the last bytes of its body."""
     names = [(f"a{i:x}", "") for i in range(fields)]
