connection: channels count what they hold after their first frame too

A client that sends a valid first frame of an agent could then run an entry out of memory: its channel was never closed by the budget, whatever it held, and a frame of half a megabyte could hold 120,000 messages, which occupy some 40 times their bytes when they are decoded.

Channels count bytes of an incomplete frame and bytes that the peer hasn't accepted; with more than 64 KiB of either they may be closed like those of other clients. A frame has at most 512 messages, senders split longer ones. The budget may be used from several threads; its handlers close a connection in the thread of its own.

--- a/include/tarragonlock/connection/connection_budget.hpp
+++ b/include/tarragonlock/connection/connection_budget.hpp
@@ -35,6 +35,25 @@
     sending    ///< the client has not read the whole response
 };
 
+/// What a channel to another process of the system holds at this end.
+struct channel_load
+{
+    /// Whether its peer has sent a valid first frame.
+    bool introduced = false;
+    /// Bytes of an incomplete frame.
+    std::uint64_t unread = 0;
+    /// Bytes that the peer has not accepted yet.
+    std::uint64_t unsent = 0;
+    friend bool operator==(const channel_load&, const channel_load&) = default;
+};
+
+/// Decides as what a channel counts. Load pattern: clients that imitate a process of the system,
+/// and then stop inside a long frame or read nothing. Processes of the system do neither for long,
+/// so the budget never closes their channels but for a lack of memory that clients alone don't
+/// explain.
+/// @return receiving or sending, which the budget may close, or serving
+connection_phase phase_of(const channel_load& load);
+
 /// Decides which connections of clients a process closes when they hold too much memory or too many
 /// descriptors. Load pattern: many clients that send large requests and stop short of the end,
 /// or open connections and send nothing, beside clients that hand in work.
--- a/include/tarragonlock/connection/lease_message.hpp
+++ b/include/tarragonlock/connection/lease_message.hpp
@@ -191,7 +191,10 @@
 
 /// Messages that are sent together.
 using lease_frame = std::vector<lease_message>;
+/// Most messages of a frame. Decoded, a message occupies many times its shortest encoding.
+inline constexpr std::size_t max_frame_messages = 512;
 
+/// @param frame  of at most max_frame_messages
 /// @return the frame in cereal's binary format, or codec_error::oversized
 result<std::string> encode_frame(const lease_frame& frame);
 /// @param bytes  one whole frame from a peer; not trusted
--- a/src/connection/connection_budget.cpp
+++ b/src/connection/connection_budget.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint64_t memory_divisor = 4;
 /// Cost of a connection that holds nothing: its objects and its descriptor.
 constexpr std::uint64_t base_cost = 4096;
+/// Bytes that a channel of an introduced peer may hold without being closed for them.
+constexpr std::uint64_t free_channel_bytes = 64U << 10U;
 /// Added to the time without progress, so that size counts among connections that just progressed.
 constexpr auto base_time = std::chrono::milliseconds(100);
 
@@ -44,6 +46,15 @@
             std::min(max_reserved, clients / reserved_divisor)};
 }
 
+connection_phase phase_of(const channel_load& load)
+{
+    if (!load.introduced || load.unread > free_channel_bytes)
+        return connection_phase::receiving;
+    if (load.unsent > free_channel_bytes)
+        return connection_phase::sending;
+    return connection_phase::serving;
+}
+
 connection_budget::connection connection_budget::open(instant now, bool is_reserved)
 {
     connections_[++last_id_] = {is_reserved, connection_phase::idle, 0, now};
--- a/src/connection/connection_gate.cpp
+++ b/src/connection/connection_gate.cpp
@@ -16,40 +16,87 @@
 
 connection_gate::connection connection_gate::open(close_handler on_refused, bool is_reserved)
 {
-    const auto id = budget_.open(process_clock::now(), is_reserved);
-    handlers_[id] = std::move(on_refused);
+    connection id = 0;
+    {
+        const std::lock_guard guard(mutex_);
+        id = budget_.open(process_clock::now(), is_reserved);
+        handlers_[id] = std::move(on_refused);
+    }
     enforce();
     return id;
 }
 
 void connection_gate::close(connection id)
 {
+    const std::lock_guard guard(mutex_);
     budget_.close(id);
     handlers_.erase(id);
 }
 
+bool connection_gate::is_open(connection id) const
+{
+    const std::lock_guard guard(mutex_);
+    return handlers_.contains(id);
+}
+
 void connection_gate::update(connection id, connection_phase phase, std::uint64_t bytes)
 {
-    budget_.update(id, phase, bytes, process_clock::now());
+    {
+        const std::lock_guard guard(mutex_);
+        budget_.update(id, phase, bytes, process_clock::now());
+    }
     enforce();
 }
 
 void connection_gate::on_progress(connection id)
 {
+    const std::lock_guard guard(mutex_);
     budget_.on_progress(id, process_clock::now());
 }
 
+bool connection_gate::can_serve(std::uint64_t bytes) const
+{
+    const std::lock_guard guard(mutex_);
+    return budget_.can_serve(bytes);
+}
+
+std::uint64_t connection_gate::count_of(refusal_cause cause) const
+{
+    const std::lock_guard guard(mutex_);
+    return counts_[static_cast<std::size_t>(cause)];
+}
+
+std::uint64_t connection_gate::bytes() const
+{
+    const std::lock_guard guard(mutex_);
+    return budget_.bytes();
+}
+
+std::size_t connection_gate::connections() const
+{
+    const std::lock_guard guard(mutex_);
+    return budget_.connections();
+}
+
 void connection_gate::enforce()
 {
-    const auto now = process_clock::now();
-    while (const auto closing = budget_.next_to_close(now))
+    while (true)
     {
-        const auto cause = closing->exceeded == connection_budget::limit::memory
-                               ? refusal_cause::memory
-                               : refusal_cause::connections;
-        const auto on_refused = handlers_[closing->id];
-        close(closing->id);
+        close_handler on_refused;
+        auto cause = refusal_cause::connections;
+        {
+            const std::lock_guard guard(mutex_);
+            const auto closing = budget_.next_to_close(process_clock::now());
+            if (!closing)
+                return;
+            if (closing->exceeded == connection_budget::limit::memory)
+                cause = refusal_cause::memory;
+            budget_.close(closing->id);
+            on_refused = std::move(handlers_[closing->id]);
+            handlers_.erase(closing->id);
+        }
         count(cause);
+        // Without the lock, since handlers call the gate.
         on_refused(cause);
     }
 }
@@ -57,6 +104,7 @@
 void connection_gate::count(refusal_cause cause)
 {
     const auto index = static_cast<std::size_t>(cause);
+    const std::lock_guard guard(mutex_);
     ++counts_[index];
     const auto now = process_clock::now();
     if (logged_counts_[index] > 0 && now - logged_at_[index] < log_interval)
--- a/src/connection/frame_channel.cpp
+++ b/src/connection/frame_channel.cpp
@@ -9,8 +9,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstring>
+#include <iterator>
 #include <map>
 #include <optional>
 
@@ -64,6 +66,7 @@
     void read();
     void parse_frames();
     void flush();
+    bool append_frame(const lease_frame& frame);
     void write();
     void fail(const char* cause);
 
@@ -221,19 +224,14 @@
         start();
 }
 
-/// A peer that has sent a whole frame is one of the system's processes, and keeps its channel.
+/// Reports to the budget what an accepted channel holds.
 void tcp_channel::account()
 {
     if (!client_ || closed_)
         return;
-    if (has_frame_)
-        owner_.gate().update(*client_, connection_phase::serving, read_buffer_.capacity());
-    else
-    {
-        owner_.gate().on_progress(*client_);
-        owner_.gate().update(*client_, connection_phase::receiving,
-                             sizeof(*this) + read_buffer_.capacity());
-    }
+    const auto unsent = pending_bytes_.capacity() + write_buffer_.capacity();
+    owner_.gate().update(*client_, phase_of({has_frame_, read_buffer_.size(), unsent}),
+                         sizeof(*this) + read_buffer_.capacity() + unsent);
 }
 
 void tcp_channel::read()
@@ -251,6 +249,8 @@
                                     return;
                                 }
                                 self->read_buffer_.append(self->chunk_.data(), bytes);
+                                if (self->client_)
+                                    self->owner_.gate().on_progress(*self->client_);
                                 self->parse_frames();
                                 self->account();
                                 self->read();
@@ -295,6 +295,8 @@
         }
     }
     read_buffer_.erase(0, consumed);
+    if (read_buffer_.empty() && read_buffer_.capacity() > read_bytes)
+        read_buffer_.shrink_to_fit();
 }
 
 void tcp_channel::queue(lease_message body)
@@ -311,22 +313,36 @@
     flush_posted_ = false;
     if (closed_ || !connected_)
         return;
-    const auto bytes = encode_frame(std::exchange(outgoing_, {}));
-    if (!bytes)
+    auto messages = std::exchange(outgoing_, {});
+    for (auto first = messages.begin(); first != messages.end();)
     {
-        fail("frame could not be encoded");
-        return;
-    }
-    if (pending_bytes_.size() > max_pending_bytes)
-    {
-        fail("too many bytes queued for the peer");
-        return;
+        const auto last = first + std::min<std::ptrdiff_t>(messages.end() - first,
+                                                           std::ptrdiff_t{max_frame_messages});
+        if (!append_frame({std::make_move_iterator(first), std::make_move_iterator(last)}))
+            return;
+        first = last;
     }
-    const auto size = static_cast<std::uint32_t>(bytes.value().size());
-    pending_bytes_.append(reinterpret_cast<const char*>(&size), sizeof(size));
-    pending_bytes_ += bytes.value();
     if (write_buffer_.empty())
         write();
+    account();
+}
+
+/// Encodes a frame behind the bytes to be sent.
+/// @return whether the channel is still open
+bool tcp_channel::append_frame(const lease_frame& frame)
+{
+    const auto bytes = encode_frame(frame);
+    if (!bytes)
+        fail("frame could not be encoded");
+    else if (pending_bytes_.size() > max_pending_bytes)
+        fail("too many bytes queued for the peer");
+    else
+    {
+        const auto size = static_cast<std::uint32_t>(bytes.value().size());
+        pending_bytes_.append(reinterpret_cast<const char*>(&size), sizeof(size));
+        pending_bytes_ += bytes.value();
+    }
+    return !closed_;
 }
 
 void tcp_channel::write()
@@ -337,11 +353,15 @@
                       {
                           if (self->closed_)
                               return;
-                          self->write_buffer_.clear();
+                          self->write_buffer_ = {};
                           if (error)
+                          {
                               self->fail("write failed");
-                          else if (!self->pending_bytes_.empty())
+                              return;
+                          }
+                          if (!self->pending_bytes_.empty())
                               self->write();
+                          self->account();
                       });
 }
 
--- a/src/connection/frame_channel.hpp
+++ b/src/connection/frame_channel.hpp
@@ -28,9 +28,8 @@
         std::function<void(channel, lease_frame)> on_frame;
     };
 
-    /// @param gate  budget of the process; counts accepted channels, and closes them before their
-    ///              first whole frame as it does with other connections; without one the channels
-    ///              have their own
+    /// @param gate  budget of the process; counts accepted channels by phase_of(), and closes those
+    ///              that count as clients; without one the channels have their own
     static std::unique_ptr<frame_channels> create(boost::asio::io_context& loop, handlers events,
                                                   std::shared_ptr<connection_gate> gate = nullptr);
     virtual ~frame_channels() = default;
--- a/src/connection/http_session.cpp
+++ b/src/connection/http_session.cpp
@@ -1,5 +1,6 @@
 #include "connection/http_session.hpp"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
@@ -44,10 +45,15 @@
 void http_session::start()
 {
     id_ = owner_.gate().open(
-        [weak = weak_from_this()](refusal_cause)
+        [weak = weak_from_this(), executor = socket_.get_executor()](refusal_cause)
         {
-            if (const auto self = weak.lock())
-                self->close();
+            // At once if this is the session's own thread.
+            asio::dispatch(executor,
+                           [weak]
+                           {
+                               if (const auto self = weak.lock())
+                                   self->close();
+                           });
         },
         owner_.settings().is_reserved);
     if (owner_.gate().is_open(id_))
--- a/src/connection/lease_codec.cpp
+++ b/src/connection/lease_codec.cpp
@@ -57,14 +57,28 @@
 
 #undef TARRAGONLOCK_FIELDS
 
+/// Serializes a list that has a bound. When it is decoded, nothing is allocated for a longer one.
+/// @throws value_out_of_range  when a longer list is decoded
+template<class Archive, class T>
+void serialize_bounded(Archive& archive, std::vector<T>& list, std::size_t max_size)
+{
+    cereal::size_type size = list.size();
+    archive(cereal::make_size_tag(size));
+    if (Archive::is_loading::value && size > max_size)
+        throw value_out_of_range();
+    list.resize(static_cast<std::size_t>(size));
+    for (auto& each : list)
+        archive(each);
+}
+
 template<class Archive>
 void serialize(Archive& archive, evacuated_domains& v)
 {
-    archive(v.revision, v.failure_domains);
+    archive(v.revision);
+    serialize_bounded(archive, v.failure_domains, max_evacuated_domains);
     if (!Archive::is_loading::value)
         return;
-    if (v.failure_domains.size() > max_evacuated_domains ||
-        std::any_of(v.failure_domains.begin(), v.failure_domains.end(),
+    if (std::any_of(v.failure_domains.begin(), v.failure_domains.end(),
                     [](const std::string& name)
                     { return name.empty() || name.size() > max_failure_domain_length; }))
         throw value_out_of_range();
@@ -75,6 +89,23 @@
 {
 }
 
+namespace
+{
+
+/// A frame as it is encoded.
+struct frame_content
+{
+    lease_frame messages;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        serialize_bounded(archive, messages, max_frame_messages);
+    }
+};
+
+} // namespace
+
 const char* to_string(task_end_kind value)
 {
     switch (value)
@@ -107,7 +138,9 @@
 
 result<std::string> encode_frame(const lease_frame& frame)
 {
-    auto bytes = encode_value(frame, lease_frame_version);
+    if (frame.size() > max_frame_messages)
+        return make_error_code(codec_error::oversized);
+    auto bytes = encode_value(frame_content{frame}, lease_frame_version);
     if (bytes.size() > max_frame_bytes)
         return make_error_code(codec_error::oversized);
     return bytes;
@@ -115,7 +148,10 @@
 
 result<lease_frame> decode_frame(std::string_view bytes)
 {
-    return decode_value<lease_frame>(bytes, lease_frame_version);
+    auto content = decode_value<frame_content>(bytes, lease_frame_version);
+    if (!content)
+        return content.error();
+    return std::move(content.value().messages);
 }
 
 } // namespace tarragonlock
--- a/src/process/metrics_text.cpp
+++ b/src/process/metrics_text.cpp
@@ -37,8 +37,8 @@
         text += counter_text(std::string("clients_refused_") + name_of(cause) + "_total",
                              gate.count_of(cause));
     }
-    return text + gauge_text("client_connections", gate.budget().connections()) +
-           gauge_text("client_bytes", gate.budget().bytes());
+    return text + gauge_text("client_connections", gate.connections()) +
+           gauge_text("client_bytes", gate.bytes());
 }
 
 } // namespace tarragonlock
--- a/tests/connection/connection_budget_test.cpp
+++ b/tests/connection/connection_budget_test.cpp
@@ -116,4 +116,15 @@
     BOOST_TEST(!trickle.is_overdue(start + seconds(15), seconds(15)));
 }
 
+/// Load pattern: clients that imitate an agent, then stop inside a long frame or read nothing.
+BOOST_AUTO_TEST_CASE(channels_that_hold_much_count_as_clients)
+{
+    constexpr std::uint64_t little = 1000;
+    constexpr std::uint64_t much = 1'000'000;
+    BOOST_TEST((phase_of({false, 0, 0}) == connection_phase::receiving));
+    BOOST_TEST((phase_of({true, little, little}) == connection_phase::serving));
+    BOOST_TEST((phase_of({true, much, 0}) == connection_phase::receiving));
+    BOOST_TEST((phase_of({true, 0, much}) == connection_phase::sending));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/connection/lease_codec_test.cpp
+++ b/tests/connection/lease_codec_test.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstring>
+
 using namespace tarragonlock;
 
 namespace
@@ -73,4 +75,20 @@
     BOOST_TEST(!accepted(std::vector<std::string>(1025, "fd-1")));
 }
 
+/// Guards against frames whose messages occupy many times their bytes.
+BOOST_AUTO_TEST_CASE(frames_of_too_many_messages_are_rejected)
+{
+    const lease_frame longest(max_frame_messages, configuration_request{});
+    const auto bytes = encode_frame(longest);
+    BOOST_REQUIRE(bytes.has_value());
+    BOOST_TEST((decode_frame(bytes.value()).value() == longest));
+    BOOST_TEST(
+        (encode_frame(lease_frame(max_frame_messages + 1, configuration_request{})).error() ==
+         codec_error::oversized));
+    auto longer = bytes.value() + bytes.value().substr(bytes.value().size() - 4);
+    const auto count = static_cast<std::uint32_t>(max_frame_messages + 1);
+    std::memcpy(longer.data() + 1, &count, sizeof(count));
+    BOOST_TEST(!decode_frame(longer).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/connection/loop_http_server_test.cpp
+++ b/tests/connection/loop_http_server_test.cpp
@@ -170,7 +170,7 @@
     for (std::size_t i = 0; i < clients; ++i)
         stopped.push_back(f.send(start + std::string(150'000, 'x')));
     BOOST_TEST(f.gate->count_of(refusal_cause::memory) > 0U);
-    BOOST_TEST(f.gate->budget().bytes() <= 500'000U);
+    BOOST_TEST(f.gate->bytes() <= 500'000U);
     const auto whole = f.send("POST /job HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}");
     BOOST_TEST(f.status_line(*whole) == "HTTP/1.1 200");
 }
@@ -181,11 +181,11 @@
     limited_fixture f;
     f.server->set_limits({0, 0, 500, 0});
     const auto half = f.send("GET /job HTTP/1.1\r\na: " + std::string(5000, 'x'));
-    BOOST_TEST(f.gate->budget().bytes() >= 5000U);
+    BOOST_TEST(f.gate->bytes() >= 5000U);
     for (int i = 0; i < 100 && f.gate->count_of(refusal_cause::slow_request) == 0; ++i)
         f.run();
     BOOST_TEST(f.gate->count_of(refusal_cause::slow_request) == 1U);
-    BOOST_TEST(f.gate->budget().bytes() == 0U);
+    BOOST_TEST(f.gate->bytes() == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(a_header_in_pieces_is_served_with_the_limits_in_force_when_it_begins)
