process: a channel is sent each version of the configuration once

A peer that requested the configuration again and again, and read none of the answers, had each of them queued: 1,260 copies of up to a megabyte from one read of the socket. Requests for a version that the channel has been sent are now ignored; a channel loses nothing, and a new channel gets a copy again.

Unit test a_channel_is_sent_each_version_once.

--- a/include/tarragonlock/process/configuration_relay.hpp
+++ b/include/tarragonlock/process/configuration_relay.hpp
@@ -30,6 +30,10 @@
     /// Records the version that a peer has.
     void on_notice(channel_id channel, std::uint64_t version);
     void on_channel_lost(channel_id channel);
+    /// Answers a peer's request for the document. A channel loses nothing, so a peer that has been
+    /// sent the current version on it needs no other copy.
+    /// @return the copy to send, or nothing if the channel has been sent this version
+    std::optional<configuration_copy> copy_for(channel_id channel);
     /// Chooses a peer to request the document from, and marks it as asked.
     /// @return the peer, or nothing when none has a newer version or an answer is still awaited
     std::optional<channel_id> next_peer_to_ask(instant now);
@@ -47,6 +51,8 @@
     instant stored_at_;
     /// Highest version that each peer has announced or has been notified of.
     std::map<channel_id, std::uint64_t> peer_versions_;
+    /// Version of the last copy sent on each channel.
+    std::map<channel_id, std::uint64_t> sent_versions_;
     /// Whether take_peers_to_notify() has been called in time for the current version.
     bool peers_notified_ = true;
 };
--- a/src/process/configuration_relay.cpp
+++ b/src/process/configuration_relay.cpp
@@ -45,10 +45,20 @@
 {
     newer_versions_.erase(channel);
     peer_versions_.erase(channel);
+    sent_versions_.erase(channel);
     if (asked_peer_ == channel)
         asked_peer_.reset();
 }
 
+std::optional<configuration_copy> configuration_relay::copy_for(channel_id channel)
+{
+    auto& sent = sent_versions_[channel];
+    if (current_.version == 0 || sent == current_.version)
+        return std::nullopt;
+    sent = current_.version;
+    return current_;
+}
+
 std::optional<channel_id> configuration_relay::next_peer_to_ask(instant now)
 {
     if (newer_versions_.empty() || (asked_peer_ && now - asked_at_ < answer_timeout))
--- a/src/process/leased_entry_daemon.cpp
+++ b/src/process/leased_entry_daemon.cpp
@@ -298,7 +298,10 @@
         else if (const auto* notice = std::get_if<configuration_notice>(&message))
             configuration_.on_notice(channel, notice->version);
         else if (std::holds_alternative<configuration_request>(message))
-            channels_->send(channel, configuration_.current());
+        {
+            if (auto requested = configuration_.copy_for(channel))
+                channels_->send(channel, std::move(*requested));
+        }
         else if (const auto* copy = std::get_if<evacuated_domains>(&message))
         {
             if (evacuations_.on_copy(now, channel, *copy))
--- a/src/process/task_host_relays.cpp
+++ b/src/process/task_host_relays.cpp
@@ -18,7 +18,8 @@
 
 void task_host::handle(instant, channel_id channel, const configuration_request&)
 {
-    effects_.emplace_back(to_entry{channel, configuration()});
+    if (auto requested = configuration_.copy_for(channel))
+        effects_.emplace_back(to_entry{channel, std::move(*requested)});
 }
 
 void task_host::request_configuration(instant now)
--- a/tests/process/configuration_relay_test.cpp
+++ b/tests/process/configuration_relay_test.cpp
@@ -78,4 +78,19 @@
     BOOST_TEST(relay.take_peers_to_notify(later + milliseconds(1000)).size() == 3U);
 }
 
+/// Guards against a peer that requests the document again and again and reads none of the copies.
+BOOST_AUTO_TEST_CASE(a_channel_is_sent_each_version_once)
+{
+    configuration_relay relay;
+    BOOST_TEST(!relay.copy_for(1).has_value());
+    relay.store_if_newer(start_time, {7, "text"});
+    BOOST_TEST((relay.copy_for(1) == configuration_copy{7, "text"}));
+    BOOST_TEST(!relay.copy_for(1).has_value());
+    BOOST_TEST(relay.copy_for(2).has_value());
+    relay.store_if_newer(start_time, {8, "newer"});
+    BOOST_TEST((relay.copy_for(1) == configuration_copy{8, "newer"}));
+    relay.on_channel_lost(1);
+    BOOST_TEST(relay.copy_for(1).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
