connection: the read buffers of idle connections are counted

An idle connection had allocated 16 KiB for its next request after it reported what it holds, so the budget counted nothing for it: some 60 MB of 3,700 silent connections, on hosts with 120 to 260 MB. Read buffers are counted once they are allocated, and a connection whose buffer is empty gets 4 KiB, which hold most requests.

Unit test the_read_buffers_of_idle_connections_are_counted: 0 bytes for an open connection before, 4 KiB now. The sum was worked out from the sizes, not measured.

--- a/src/connection/http_session.cpp
+++ b/src/connection/http_session.cpp
@@ -28,7 +28,7 @@
 constexpr std::size_t read_ahead_bytes = 16U << 10U;
 /// Largest number of bytes read from the socket at once.
 constexpr std::size_t read_bytes = 16U << 10U;
-/// Largest read buffer that an idle connection keeps.
+/// Read buffer of an idle connection; holds most requests.
 constexpr std::size_t kept_buffer_bytes = 4096;
 /// A client must send or read min_body_bytes within this time. Longer than the outages of links and
 /// hosts that callers are expected to survive.
@@ -69,9 +69,7 @@
     field_bytes_ = 0;
     if (buffer_.size() == 0 && buffer_.capacity() > kept_buffer_bytes)
         buffer_.shrink_to_fit();
-    report_to_budget(connection_phase::idle, buffer_.capacity());
-    if (!socket_.is_open())
-        return;
+    phase_ = connection_phase::idle;
     if (buffer_.size() > 0)
         parse();
     else
@@ -86,7 +84,13 @@
     const auto room = buffer_.max_size() - std::min(buffer_.max_size(), buffer_.size());
     if (room == 0)
         return refuse(431, refusal_cause::long_header);
-    socket_.async_read_some(buffer_.prepare(std::min(room, read_bytes)),
+    const auto wanted = buffer_.size() == 0 ? kept_buffer_bytes : read_bytes;
+    const auto space = buffer_.prepare(std::min(room, wanted));
+    const auto body_bytes = parser_ ? parser_->get().body().capacity() : 0;
+    report_to_budget(phase_, buffer_.capacity() + field_bytes_ + body_bytes);
+    if (!socket_.is_open())
+        return;
+    socket_.async_read_some(space,
                             [self = shared_from_this()](error_code error, std::size_t bytes)
                             {
                                 if (!self->socket_.is_open())
@@ -134,8 +138,7 @@
         return refuse(431, refusal_cause::long_header);
     if (parser_->is_done())
         return on_request();
-    report_to_budget(connection_phase::receiving,
-                     buffer_.capacity() + field_bytes_ + parser_->get().body().capacity());
+    phase_ = connection_phase::receiving;
     read_some();
 }
 
--- a/tests/connection/loop_http_server_test.cpp
+++ b/tests/connection/loop_http_server_test.cpp
@@ -205,4 +205,13 @@
     BOOST_TEST(f.status_line(*client) == "HTTP/1.1 413");
 }
 
+/// Load pattern: very many connections that send nothing.
+BOOST_AUTO_TEST_CASE(the_read_buffers_of_idle_connections_are_counted)
+{
+    limited_fixture f;
+    const auto idle = f.send("");
+    BOOST_TEST(f.gate->connections() == 1U);
+    BOOST_TEST(f.gate->bytes() >= 1024U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
