connection: the event loop's HTTP server asks for bodies that clients hold back

Clients such as curl announce a long body with Expect: 100-continue and wait for a second before they send it without an answer. The server answers them at once.

Unit test a_client_that_waits_before_its_body_is_asked_for_it.

--- a/include/tarragonlock/connection/http_message.hpp
+++ b/include/tarragonlock/connection/http_message.hpp
@@ -17,6 +17,8 @@
     std::string body;
     /// Value of the header named in loop_http_server::options::deadline_header; empty when missing.
     std::string deadline_header;
+    /// Value of the Authorization header; empty when missing.
+    std::string authorization;
     /// Whether the client had closed the connection by the time the request was read.
     bool client_disconnected = false;
 };
--- a/src/connection/http_session.cpp
+++ b/src/connection/http_session.cpp
@@ -153,7 +153,23 @@
         field_bytes_ += field_cost + field.name_string().size() + field.value().size();
     }
     progress_.begin(owner_.running_time());
-    return count <= max_header_fields;
+    if (count > max_header_fields)
+        return false;
+    if (!parser_->is_done() &&
+        boost::beast::iequals(parser_->get()[http::field::expect], "100-continue"))
+        send_continue();
+    return true;
+}
+
+/// Asks the client for the body, for which it waits. Without an answer it would send it later.
+void http_session::send_continue()
+{
+    constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
+    const auto sent =
+        ::send(socket_.native_handle(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    // After a part of it, no response could be told apart from the rest.
+    if (sent > 0 && static_cast<std::size_t>(sent) < text.size())
+        close();
 }
 
 void http_session::on_request()
@@ -167,6 +183,7 @@
     request.host = std::string(host.substr(0, host.find(':')));
     if (!owner_.settings().deadline_header.empty())
         request.deadline_header = std::string(message[owner_.settings().deadline_header]);
+    request.authorization = std::string(message[http::field::authorization]);
     request.body = std::move(message.body());
     request.client_disconnected = peek() == readable_input::end;
     keep_alive_ = message.keep_alive();
--- a/src/connection/http_session.hpp
+++ b/src/connection/http_session.hpp
@@ -49,6 +49,11 @@
     void start();
     void respond(const http_response& reply, bool close_connection);
     bool reserve(std::uint64_t bytes);
+    /// @return whether a request waits for its response, or the response has not been sent
+    bool is_busy() const
+    {
+        return phase_ == connection_phase::serving || phase_ == connection_phase::sending;
+    }
     /// Closes the connection if its client makes too little progress.
     void check_progress(instant now);
     void close();
@@ -59,6 +64,7 @@
     void on_bytes(std::size_t bytes);
     void parse();
     bool on_header();
+    void send_continue();
     void on_request();
     void refuse(unsigned status, refusal_cause cause);
     /// What can be read from a connection without waiting.
--- a/src/connection/loop_http_server.cpp
+++ b/src/connection/loop_http_server.cpp
@@ -70,6 +70,12 @@
     void close_after_responses() override { closing_ = true; }
     std::size_t connections() const override { return sessions_.size(); }
 
+    std::size_t busy_connections() const override
+    {
+        return static_cast<std::size_t>(std::count_if(
+            sessions_.begin(), sessions_.end(), [](const auto& each) { return each->is_busy(); }));
+    }
+
     bool reserve(http_request_id request, std::uint64_t bytes) override
     {
         const auto found = pending_requests_.find(request);
--- a/src/connection/loop_http_server.hpp
+++ b/src/connection/loop_http_server.hpp
@@ -58,6 +58,8 @@
     /// Makes all further responses close their connection (Connection: close).
     virtual void close_after_responses() = 0;
     virtual std::size_t connections() const = 0;
+    /// @return number of connections whose request or response is in progress
+    virtual std::size_t busy_connections() const = 0;
     /// Counts memory that a request occupies until its response.
     /// @return whether the budget of the process has room for it; if not, refuse the request
     virtual bool reserve(http_request_id request, std::uint64_t bytes) = 0;
--- a/tests/connection/loop_http_server_test.cpp
+++ b/tests/connection/loop_http_server_test.cpp
@@ -214,4 +214,14 @@
     BOOST_TEST(f.gate->bytes() >= 1024U);
 }
 
+BOOST_AUTO_TEST_CASE(a_client_that_waits_before_its_body_is_asked_for_it)
+{
+    limited_fixture f;
+    const auto client =
+        f.send("POST /job HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    BOOST_TEST(f.status_line(*client) == "HTTP/1.1 100");
+    boost::asio::write(*client, boost::asio::buffer(std::string("{}")));
+    BOOST_TEST(f.status_line(*client) == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
