connection: at-most-once entries and agents count what clients send

Eight clients with a chunk extension of 20 MB each brought tarragonlock-entry to 208 MB, many more to the end of the machine's memory. cpp-httplib reads header lines, chunk sizes and trailers without a bound, applies the limit of a body to announced lengths only, expands compressed bodies, and does all this on 256 threads at once.

Both programs now use the event loop's HTTP server, on one thread of its own (threaded_http_server), with one connection budget for the process: new settings memory_mb and max_fds. http_threads has no effect any more. Requests are handed to the event loop of the entry without a thread that waits. The values of a JSON document are counted before it is parsed, and the memory of its tree is counted against the budget while it exists; a submission for which there is no room ends its connection without a status, as its job may be in progress. Responses to requests outside the routes are 404 as before; a body over the limit is answered 413 before it is read.

Ruled out: httplib's own limits, which cover only announced lengths and whole lines that have already been read.

--- a/include/tarragonlock/connection/caller_server.hpp
+++ b/include/tarragonlock/connection/caller_server.hpp
@@ -39,31 +39,36 @@
     std::optional<answer> reply;
 };
 
-/// Functions of the entry that the HTTP front end calls. Each may be called from any thread.
+/// Functions of the entry that the HTTP front end calls from its own thread. None may block: those
+/// with a responder call it once, then or later, from any thread.
 struct caller_handlers
 {
-    /// Blocks until there is a response.
-    std::function<caller_response(caller_request)> handle_request;
+    using text_responder = std::function<void(std::string)>;
+
+    std::function<void(caller_request, std::function<void(caller_response)>)> handle_request;
     std::function<bool()> ready;
-    std::function<std::string()> metrics;
-    std::function<std::string()> status;
-    std::function<std::string(const std::string&)> describe_job;
-    /// Makes the entry report itself as not ready and hand over its shards.
-    std::function<void()> drain;
+    std::function<void(text_responder)> metrics;
+    std::function<void(text_responder)> status;
+    std::function<void(const std::string& job, text_responder)> describe_job;
+    /// Makes the entry report itself as not ready and hand over its shards; the text is empty.
+    std::function<void(text_responder)> drain;
 };
 
+class connection_gate;
+
 struct caller_server_options
 {
     std::string listen;
-    std::uint32_t threads = 256;
     std::size_t max_body_bytes = 4U << 20U;
+    /// Budget of the process for what clients send.
+    std::shared_ptr<connection_gate> gate;
 };
 
 /// HTTP front end of an entry; docs/API.md describes it.
 class caller_server
 {
 public:
-    /// @return the server, listening, or std::errc::address_in_use
+    /// @return the server, listening, or the system's error
     static result<std::unique_ptr<caller_server>> open(const caller_server_options& options,
                                                        caller_handlers handlers);
     ~caller_server();
--- a/include/tarragonlock/process/settings.hpp
+++ b/include/tarragonlock/process/settings.hpp
@@ -38,13 +38,15 @@
     std::vector<peer_address> entries;
     std::vector<std::string> store_addresses;
     std::string placement;
-    std::uint32_t http_threads = 0;
     std::uint32_t max_body_bytes = 0;
     std::uint32_t record_window_s = 0;
     std::uint32_t result_mb = 0;
     std::uint32_t lease_ms = 0;
     std::uint32_t silence_ms = 0;
     bool ejection = true;
+    /// Memory and descriptors that the host has for the process.
+    std::uint32_t memory_mb = 0;
+    std::uint32_t max_fds = 0;
     log_settings log;
 
     /// Parses and checks a settings file's text.
@@ -69,6 +71,8 @@
     std::uint32_t record_mb = 0;
     std::uint32_t announcement_lifetime_ms = 0;
     std::uint32_t silence_ms = 0;
+    std::uint32_t memory_mb = 0;
+    std::uint32_t max_fds = 0;
     log_settings log;
 
     static result<agent_settings> parse(const std::string& text, const std::string& file,
--- a/src/connection/caller_server.cpp
+++ b/src/connection/caller_server.cpp
@@ -1,9 +1,13 @@
 #include "tarragonlock/connection/caller_server.hpp"
 
-#include "connection/http_server.hpp"
+#include "common/json_tree.hpp"
+#include "connection/http_routes.hpp"
+#include "connection/threaded_http_server.hpp"
 #include "tarragonlock/request/job_id.hpp"
 
+#include <array>
 #include <charconv>
+#include <limits>
 
 namespace tarragonlock
 {
@@ -13,148 +17,209 @@
 
 constexpr auto max_wait = std::chrono::milliseconds(600'000);
 
-/// @return the wait_ms parameter, at most max_wait, or the fallback when it is missing or
-/// malformed.
-duration requested_wait(const httplib::Request& request, duration fallback)
+/// @return the wait_ms parameter of the query, at most max_wait, or the fallback when it is missing
+/// or
+///         malformed.
+duration requested_wait(const http_request& request, duration fallback)
 {
-    if (!request.has_param("wait_ms"))
-        return fallback;
-    const auto text = request.get_param_value("wait_ms");
-    std::uint32_t milliseconds = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-    if (error != std::errc() || end != text.data() + text.size())
-        return fallback;
-    return std::min<duration>(std::chrono::milliseconds(milliseconds), max_wait);
+    constexpr std::string_view parameter = "wait_ms=";
+    const std::string_view target = request.target;
+    for (auto at = target.find('?'); at != std::string_view::npos; at = target.find('&', at + 1))
+    {
+        const auto text = target.substr(at + 1, target.find('&', at + 1) - at - 1);
+        if (!text.starts_with(parameter))
+            continue;
+        std::uint32_t milliseconds = 0;
+        const auto* const last = text.data() + text.size();
+        const auto [end, error] =
+            std::from_chars(text.data() + parameter.size(), last, milliseconds);
+        if (error != std::errc() || end != last)
+            return fallback;
+        return std::min<duration>(std::chrono::milliseconds(milliseconds), max_wait);
+    }
+    return fallback;
 }
 
-std::string bearer_token(const httplib::Request& request)
+std::string bearer_token(const http_request& request)
 {
     constexpr std::string_view scheme = "Bearer ";
-    auto header = request.get_header_value("Authorization");
+    const auto& header = request.authorization;
     return header.starts_with(scheme) ? header.substr(scheme.size()) : std::string();
 }
 
-void write_response(httplib::Response& response, const caller_response& job_response)
+http_response job_response(const caller_response& answered)
 {
-    response.status = http_status(job_response);
-    response.set_content(render_answer(job_response), "application/json");
-    if (job_response.reply && job_response.reply->retry_after_ms > 0)
-    {
-        const auto seconds = (job_response.reply->retry_after_ms + 999) / 1000;
-        response.set_header("Retry-After", std::to_string(seconds));
-    }
+    const auto retry_after_ms = answered.reply ? answered.reply->retry_after_ms : 0;
+    return {static_cast<unsigned>(http_status(answered)), render_answer(answered),
+            "application/json", retry_after_ms};
 }
 
-void write_invalid_request(httplib::Response& response, const std::string& id,
-                           const std::string& error)
+http_response invalid_request(const std::string& id, const std::string& error)
 {
-    caller_response refused{id, answer{id, outcome::refused, reason::invalid_request, {}, 0}};
-    write_response(response, refused);
-    auto body = render_answer(refused);
-    body.pop_back();
+    auto refused = job_response({id, answer{id, outcome::refused, reason::invalid_request, {}, 0}});
+    refused.body.pop_back();
     std::string escaped;
     for (const char c : error)
-        escaped += c == '"' || c == '\\' ? ' ' : c;
-    response.set_content(body + ",\"detail\":\"" + escaped + "\"}", "application/json");
+        escaped += c == '"' || c == '\\' || static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+    refused.body += ",\"detail\":\"" + escaped + "\"}";
+    return refused;
 }
 
+constexpr auto invalid_id_text = "the id may hold 1 to 96 of A-Z a-z 0-9 . _ -";
+
 } // namespace
 
 class caller_server::implementation
 {
 public:
-    implementation(const caller_server_options& options, caller_handlers handlers)
-        : handlers_(std::move(handlers)), server_(options.threads, options.max_body_bytes)
-    {
-        auto& routes = server_.routes();
-        const std::string job = R"(/v1/jobs/([^/]+))";
-        // Bodies are read with a content reader, because httplib limits bodies with the content
-        // type of a form, which curl sends by default, to 8 KB.
-        routes.Put(job, [this](const auto& request, auto& response, const auto& reader)
-                   { submit(request, response, request.matches[1].str(), reader); });
-        routes.Post("/v1/jobs", [this](const auto& request, auto& response, const auto& reader)
-                    { submit(request, response, "", reader); });
-        routes.Get(job, [this](const auto& request, auto& response)
-                   { control(request, response, caller_request::action_type::query); });
-        routes.Delete(job, [this](const auto& request, auto& response)
-                      { control(request, response, caller_request::action_type::cancel); });
-        routes.Get("/readyz",
-                   [this](const auto&, auto& response)
-                   {
-                       const bool ready = handlers_.ready();
-                       response.status = ready ? 200 : 503;
-                       response.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
-                   });
-        routes.Get("/metrics", [this](const auto&, auto& response)
-                   { response.set_content(handlers_.metrics(), "text/plain; version=0.0.4"); });
-        routes.Get("/v1/status", [this](const auto&, auto& response)
-                   { response.set_content(handlers_.status(), "application/json"); });
-        routes.Put("/v1/drain",
-                   [this](const auto&, auto& response)
-                   {
-                       handlers_.drain();
-                       response.set_content("{}", "application/json");
-                   });
-        routes.Get(R"(/v1/status/jobs/([^/]+))",
-                   [this](const auto& request, auto& response) {
-                       response.set_content(handlers_.describe_job(request.matches[1].str()) + "\n",
-                                            "text/plain");
-                   });
-    }
-
-    bool start(const std::string& listen) { return server_.start(listen); }
-    void stop() { server_.stop(); }
+    explicit implementation(caller_handlers handlers) : handlers_(std::move(handlers)) {}
+
+    result<void> open(const caller_server_options& options)
+    {
+        auto opened = threaded_http_server::open(
+            {options.listen, "", options.max_body_bytes, options.gate},
+            [this](http_request_id id, const http_request& request) { handle(id, request); });
+        if (!opened)
+            return opened.error();
+        server_ = std::move(opened).value();
+        return boost::outcome_v2::success();
+    }
+    void stop() { server_->stop(); }
 
 private:
-    void submit(const httplib::Request& request, httplib::Response& response, const std::string& id,
-                const httplib::ContentReader& reader)
-    {
-        std::string body;
-        const bool complete = reader(
-            [&](const char* data, std::size_t size)
-            {
-                body.append(data, size);
-                return true;
-            });
-        if (!complete)
-        {
-            write_invalid_request(response, id, "the body is too large or incomplete");
-            response.status = 413;
-            return;
-        }
-        if (!id.empty() && !is_valid_job_id(id))
-            return write_invalid_request(response, "",
-                                         "the id may hold 1 to 96 of A-Z a-z 0-9 . _ -");
+    using route = http_route<implementation, http_request_id>;
+    static const std::array<route, 10> routes;
+
+    void handle(http_request_id id, const http_request& request)
+    {
+        if (!handle_route<implementation, http_request_id>(routes, *this, id, request))
+            server_->respond(id, {404, "", "", 0});
+    }
+
+    void submit_new(http_request_id id, const http_request& request, std::string_view)
+    {
+        submit(id, request, caller_request::action_type::submit_new, "");
+    }
+
+    void submit_named(http_request_id id, const http_request& request, std::string_view job)
+    {
+        if (!is_valid_job_id(job))
+            return server_->respond(id, invalid_request("", invalid_id_text));
+        submit(id, request, caller_request::action_type::submit, std::string(job));
+    }
+
+    void submit(http_request_id id, const http_request& request, caller_request::action_type action,
+                std::string job)
+    {
         caller_request parsed;
-        parsed.action = id.empty() ? caller_request::action_type::submit_new
-                                   : caller_request::action_type::submit;
-        parsed.job.id = id;
+        parsed.action = action;
+        parsed.job.id = std::move(job);
         parsed.token = bearer_token(request);
+        const auto values = count_json_values(request.body);
+        if (values == std::numeric_limits<std::size_t>::max())
+            return server_->respond(id,
+                                    invalid_request(parsed.job.id, "the body is nested too deep"));
+        // No status: the job may be in progress, which a refusal as not run would deny.
+        if (!server_->reserve(id, request.body.size() + values * json_value_bytes))
+            return server_->abandon(id);
         std::string error;
-        if (!parse_submission(body, parsed.job, error))
-            return write_invalid_request(response, id, error);
+        if (!parse_submission(request.body, parsed.job, error))
+            return server_->respond(id, invalid_request(parsed.job.id, error));
+        server_->reserve(id, request.body.size());
         parsed.wait = requested_wait(request, max_wait);
-        write_response(response, handlers_.handle_request(std::move(parsed)));
+        request_of_job(id, std::move(parsed));
+    }
+
+    void query(http_request_id id, const http_request& request, std::string_view job)
+    {
+        control(id, request, job, caller_request::action_type::query);
+    }
+
+    void cancel(http_request_id id, const http_request& request, std::string_view job)
+    {
+        control(id, request, job, caller_request::action_type::cancel);
     }
 
-    void control(const httplib::Request& request, httplib::Response& response,
+    void control(http_request_id id, const http_request& request, std::string_view job,
                  caller_request::action_type action)
     {
-        const auto id = request.matches[1].str();
-        if (!is_valid_job_id(id))
-            return write_invalid_request(response, "",
-                                         "the id may hold 1 to 96 of A-Z a-z 0-9 . _ -");
+        if (!is_valid_job_id(job))
+            return server_->respond(id, invalid_request("", invalid_id_text));
         caller_request parsed;
         parsed.action = action;
-        parsed.job.id = id;
+        parsed.job.id = std::string(job);
         parsed.wait = requested_wait(request, duration(0));
-        write_response(response, handlers_.handle_request(std::move(parsed)));
+        request_of_job(id, std::move(parsed));
+    }
+
+    void request_of_job(http_request_id id, caller_request request)
+    {
+        handlers_.handle_request(std::move(request), [this, id](const caller_response& answered)
+                                 { server_->respond(id, job_response(answered)); });
+    }
+
+    void health(http_request_id id, const http_request&, std::string_view)
+    {
+        server_->respond(id, {200, "ok\n", "text/plain", 0});
+    }
+
+    void readiness(http_request_id id, const http_request&, std::string_view)
+    {
+        const bool ready = handlers_.ready();
+        server_->respond(id,
+                         {ready ? 200U : 503U, ready ? "ready\n" : "not ready\n", "text/plain", 0});
+    }
+
+    void metrics(http_request_id id, const http_request&, std::string_view)
+    {
+        handlers_.metrics(text_response(id, "text/plain; version=0.0.4"));
+    }
+
+    void status(http_request_id id, const http_request&, std::string_view)
+    {
+        handlers_.status(text_response(id, "application/json"));
+    }
+
+    void job_status(http_request_id id, const http_request&, std::string_view job)
+    {
+        handlers_.describe_job(std::string(job),
+                               [this, id](std::string text) {
+                                   server_->respond(id, {200, text + "\n", "text/plain", 0});
+                               });
+    }
+
+    void drain(http_request_id id, const http_request&, std::string_view)
+    {
+        handlers_.drain(
+            [this, id](const std::string&) {
+                server_->respond(id, {200, "{}", "application/json", 0});
+            });
+    }
+
+    caller_handlers::text_responder text_response(http_request_id id, const char* content_type)
+    {
+        return [this, id, content_type](std::string text) {
+            server_->respond(id, {200, std::move(text), content_type, 0});
+        };
     }
 
     caller_handlers handlers_;
-    http_server server_;
+    std::unique_ptr<threaded_http_server> server_;
 };
 
+const std::array<caller_server::implementation::route, 10> caller_server::implementation::routes{{
+    {"PUT", "/v1/jobs/{}", &implementation::submit_named},
+    {"POST", "/v1/jobs", &implementation::submit_new},
+    {"GET", "/v1/jobs/{}", &implementation::query},
+    {"DELETE", "/v1/jobs/{}", &implementation::cancel},
+    {"GET", "/healthz", &implementation::health},
+    {"GET", "/readyz", &implementation::readiness},
+    {"GET", "/metrics", &implementation::metrics},
+    {"GET", "/v1/status", &implementation::status},
+    {"GET", "/v1/status/jobs/{}", &implementation::job_status},
+    {"PUT", "/v1/drain", &implementation::drain},
+}};
+
 caller_server::caller_server(std::unique_ptr<implementation> impl) : impl_(std::move(impl)) {}
 
 caller_server::~caller_server() = default;
@@ -162,9 +227,9 @@
 result<std::unique_ptr<caller_server>> caller_server::open(const caller_server_options& options,
                                                            caller_handlers handlers)
 {
-    auto impl = std::make_unique<implementation>(options, std::move(handlers));
-    if (!impl->start(options.listen))
-        return std::make_error_code(std::errc::address_in_use);
+    auto impl = std::make_unique<implementation>(std::move(handlers));
+    if (const auto opened = impl->open(options); !opened)
+        return opened.error();
     return std::unique_ptr<caller_server>(new caller_server(std::move(impl)));
 }
 
--- a/src/connection/http_session.cpp
+++ b/src/connection/http_session.cpp
@@ -215,6 +215,12 @@
     return true;
 }
 
+void http_session::abandon()
+{
+    awaiting_response_ = false;
+    close();
+}
+
 void http_session::report_to_budget(connection_phase phase, std::uint64_t bytes)
 {
     phase_ = phase;
--- a/src/connection/http_session.hpp
+++ b/src/connection/http_session.hpp
@@ -49,6 +49,8 @@
     void start();
     void respond(const http_response& reply, bool close_connection);
     bool reserve(std::uint64_t bytes);
+    /// Closes the connection without a response to its request.
+    void abandon();
     /// @return whether a request waits for its response, or the response has not been sent
     bool is_busy() const
     {
--- a/src/connection/loop_http_server.cpp
+++ b/src/connection/loop_http_server.cpp
@@ -45,6 +45,16 @@
             settings_.gate = std::make_shared<connection_gate>(connection_limits{});
     }
 
+    ~server() override
+    {
+        // Removes them from the budget, which may outlive this server.
+        const std::vector<std::shared_ptr<http_session>> open(sessions_.begin(), sessions_.end());
+        for (const auto& each : open)
+            each->close();
+    }
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+
     result<void> listen()
     {
         const auto listening = listen_at(acceptor_, settings_.listen);
@@ -67,6 +77,23 @@
         target->respond(reply, closing_);
     }
 
+    void abandon(http_request_id request) override
+    {
+        const auto found = pending_requests_.find(request);
+        if (found == pending_requests_.end())
+            return;
+        const auto target = found->second;
+        pending_requests_.erase(found);
+        target->abandon();
+    }
+
+    void stop_accepting() override
+    {
+        error_code ignored; // The server stops in any case.
+        acceptor_.close(ignored);
+        accept_timer_.cancel();
+    }
+
     void close_after_responses() override { closing_ = true; }
     std::size_t connections() const override { return sessions_.size(); }
 
--- a/src/connection/loop_http_server.hpp
+++ b/src/connection/loop_http_server.hpp
@@ -55,6 +55,10 @@
 
     /// Sends the response to a request; does nothing when its connection is closed.
     virtual void respond(http_request_id request, http_response reply) = 0;
+    /// Closes the connection of a request without a response.
+    virtual void abandon(http_request_id request) = 0;
+    /// Accepts no more connections.
+    virtual void stop_accepting() = 0;
     /// Makes all further responses close their connection (Connection: close).
     virtual void close_after_responses() = 0;
     virtual std::size_t connections() const = 0;
--- a/src/process/agent_daemon.cpp
+++ b/src/process/agent_daemon.cpp
@@ -1,6 +1,9 @@
 #include "tarragonlock/process/agent_daemon.hpp"
 
-#include "connection/http_server.hpp"
+#include "common/json_tree.hpp"
+#include "connection/connection_gate.hpp"
+#include "connection/http_routes.hpp"
+#include "connection/threaded_http_server.hpp"
 #include "process/metrics_text.hpp"
 #include "process/task_runner.hpp"
 #include "tarragonlock/common/log.hpp"
@@ -11,7 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <spdlog/fmt/fmt.h>
 
-#include <future>
+#include <array>
 #include <random>
 
 namespace tarragonlock
@@ -22,8 +25,9 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds(10);
 constexpr auto max_shutdown_time = std::chrono::seconds(60);
-constexpr std::size_t http_threads = 8;
 constexpr std::size_t max_announcement_bytes = 64U << 10U;
+/// Most values of an announcement; a backend server has a few dozen labels at most.
+constexpr std::size_t max_announcement_values = 1000;
 
 struct backend_leaving
 {
@@ -35,7 +39,7 @@
 
 struct metrics_request
 {
-    std::shared_ptr<std::promise<std::string>> promise;
+    http_request_id request = 0;
 };
 
 using agent_event = std::variant<link_event, backend_announcement, backend_leaving, task_outcome,
@@ -46,6 +50,8 @@
 std::string parse_announcement(const std::string& text, std::uint32_t max_slots,
                                backend_announcement& announcement)
 {
+    if (count_json_values(text) > max_announcement_values)
+        return fmt::format("the body may have {} values at most", max_announcement_values);
     const auto body = nlohmann::json::parse(text, nullptr, false);
     if (body.is_discarded() || !body.is_object())
         return "the body must be a JSON object";
@@ -84,12 +90,22 @@
 public:
     agent_daemon_impl(const agent_settings& settings, std::uint64_t incarnation)
         : settings_(settings), incarnation_(incarnation),
-          core_(make_options(settings, incarnation)), server_(http_threads, max_announcement_bytes),
+          core_(make_options(settings, incarnation)),
+          gate_(std::make_shared<connection_gate>(
+              connection_limits::of_host(settings.memory_mb, settings.max_fds))),
           runner_(std::min(settings.slots, settings.connections),
                   [this](task_outcome outcome) { events_.post(agent_event(std::move(outcome))); })
     {
     }
 
+    ~agent_daemon_impl() override
+    {
+        // Its thread may close connections of the HTTP server, which needs the server's event loop.
+        link_.reset();
+    }
+    agent_daemon_impl(const agent_daemon_impl&) = delete;
+    agent_daemon_impl& operator=(const agent_daemon_impl&) = delete;
+
     std::error_code open()
     {
         link_options options;
@@ -103,9 +119,16 @@
         link_ = std::move(opened).value();
         for (const auto& entry : settings_.entries)
             link_->keep_connected(entry.name, entry.address);
-        add_routes();
-        if (!server_.start(settings_.listen_http))
-            return std::make_error_code(std::errc::address_in_use);
+        auto server = threaded_http_server::open(
+            {settings_.listen_http, "", max_announcement_bytes, gate_},
+            [this](http_request_id id, const http_request& request)
+            {
+                if (!handle_route<agent_daemon_impl, http_request_id>(routes, *this, id, request))
+                    server_->respond(id, {404, "", "", 0});
+            });
+        if (!server)
+            return server.error();
+        server_ = std::move(server).value();
         return {};
     }
 
@@ -124,59 +147,55 @@
         while (process_clock::now() - drain_start < max_shutdown_time &&
                (process_clock::now() - drain_start < min_shutdown_time || !core_.idle()))
             run_once();
-        server_.stop();
+        server_->stop();
         log_event(log_level::info, "stopped");
     }
 
 private:
-    void add_routes()
-    {
-        auto& routes = server_.routes();
-        routes.Post("/v1/announce", [this](const auto& request, auto& response)
-                    { handle_announcement(request, response); });
-        routes.Delete("/v1/announce",
-                      [this](const auto&, auto& response)
-                      {
-                          events_.post(agent_event(backend_leaving{}));
-                          response.set_content("{}", "application/json");
-                      });
-        routes.Put("/v1/drain",
-                   [this](const auto&, auto& response)
-                   {
-                       events_.post(agent_event(drain_request{}));
-                       response.set_content("{}", "application/json");
-                   });
-        routes.Get("/metrics", [this](const auto&, auto& response)
-                   { response.set_content(request_metrics(), "text/plain; version=0.0.4"); });
-        routes.Get("/readyz",
-                   [this](const auto&, auto& response)
-                   {
-                       response.status = has_backend_ ? 200 : 503;
-                       response.set_content(has_backend_ ? "ready\n" : "no backend server\n",
-                                            "text/plain");
-                   });
-    }
+    using route = http_route<agent_daemon_impl, http_request_id>;
+    static const std::array<route, 6> routes;
 
-    void handle_announcement(const httplib::Request& request, httplib::Response& response)
+    void announce(http_request_id id, const http_request& request, std::string_view)
     {
         backend_announcement announcement;
         const auto error = parse_announcement(request.body, settings_.slots, announcement);
         if (!error.empty())
-        {
-            response.status = 400;
-            response.set_content(nlohmann::json{{"detail", error}}.dump(), "application/json");
-            return;
-        }
-        events_.post(agent_event(std::move(announcement)));
-        response.set_content("{}", "application/json");
+            return server_->respond(
+                id, {400, nlohmann::json{{"detail", error}}.dump(), "application/json", 0});
+        post_and_confirm(id, std::move(announcement));
+    }
+
+    void withdraw(http_request_id id, const http_request&, std::string_view)
+    {
+        post_and_confirm(id, backend_leaving{});
+    }
+
+    void drain(http_request_id id, const http_request&, std::string_view)
+    {
+        post_and_confirm(id, drain_request{});
+    }
+
+    void post_and_confirm(http_request_id id, agent_event event)
+    {
+        events_.post(std::move(event));
+        server_->respond(id, {200, "{}", "application/json", 0});
+    }
+
+    void request_metrics(http_request_id id, const http_request&, std::string_view)
+    {
+        events_.post(agent_event(metrics_request{id}));
+    }
+
+    void health(http_request_id id, const http_request&, std::string_view)
+    {
+        server_->respond(id, {200, "ok\n", "text/plain", 0});
     }
 
-    std::string request_metrics()
+    void readiness(http_request_id id, const http_request&, std::string_view)
     {
-        auto promise = std::make_shared<std::promise<std::string>>();
-        auto future = promise->get_future();
-        events_.post(agent_event(metrics_request{std::move(promise)}));
-        return future.get();
+        const bool ready = has_backend_;
+        server_->respond(
+            id, {ready ? 200U : 503U, ready ? "ready\n" : "no backend server\n", "text/plain", 0});
     }
 
     void run_once()
@@ -209,8 +228,8 @@
             handle_task_finished(now, *outcome);
         else if (std::holds_alternative<drain_request>(event))
             core_.drain(now);
-        else if (auto* request = std::get_if<metrics_request>(&event))
-            request->promise->set_value(metrics());
+        else if (const auto* asked = std::get_if<metrics_request>(&event))
+            server_->respond(asked->request, {200, metrics(), "text/plain; version=0.0.4", 0});
         carry_out();
     }
 
@@ -273,20 +292,31 @@
                gauge_text("agent_queued", core_.queued()) +
                gauge_text("agent_job_records", core_.records().job_count()) +
                gauge_text("agent_record_bytes", core_.records().bytes()) +
-               gauge_text("agent_config_version", core_.config_version());
+               gauge_text("agent_config_version", core_.config_version()) +
+               client_refusals_text(*gate_);
     }
 
     agent_settings settings_;
     std::uint64_t incarnation_;
     agent_core core_;
+    std::shared_ptr<connection_gate> gate_;
     mailbox<agent_event> events_;
     std::unique_ptr<link> link_;
-    http_server server_;
+    std::unique_ptr<threaded_http_server> server_;
     task_runner runner_;
     instant last_tick_;
     std::atomic<bool> has_backend_{false};
 };
 
+const std::array<agent_daemon_impl::route, 6> agent_daemon_impl::routes{{
+    {"POST", "/v1/announce", &agent_daemon_impl::announce},
+    {"DELETE", "/v1/announce", &agent_daemon_impl::withdraw},
+    {"PUT", "/v1/drain", &agent_daemon_impl::drain},
+    {"GET", "/metrics", &agent_daemon_impl::request_metrics},
+    {"GET", "/healthz", &agent_daemon_impl::health},
+    {"GET", "/readyz", &agent_daemon_impl::readiness},
+}};
+
 } // namespace
 
 result<std::unique_ptr<agent_daemon>> agent_daemon::create(const agent_settings& settings)
--- a/src/process/entry_daemon.cpp
+++ b/src/process/entry_daemon.cpp
@@ -1,6 +1,8 @@
 #include "tarragonlock/process/entry_daemon.hpp"
 
+#include "connection/connection_gate.hpp"
 #include "process/entry_status.hpp"
+#include "process/metrics_text.hpp"
 #include "process/store_adapter.hpp"
 #include "tarragonlock/common/log.hpp"
 #include "tarragonlock/common/mailbox.hpp"
@@ -11,7 +13,6 @@
 #include "tarragonlock/version/store_client.hpp"
 #include "tarragonlock/version/team_tokens.hpp"
 
-#include <future>
 #include <random>
 
 namespace tarragonlock
@@ -26,18 +27,18 @@
 constexpr auto load_balancer_grace_period = std::chrono::seconds(2);
 constexpr auto max_shutdown_time = std::chrono::seconds(60);
 
-/// A caller's request with the promise for its response.
+/// A caller's request with the function that sends its response.
 struct pending_call
 {
     caller_request request;
-    std::shared_ptr<std::promise<caller_response>> promise;
+    std::function<void(caller_response)> respond;
 };
 
 /// A query of the entry's state, evaluated on the thread of the event loop.
 struct state_query
 {
     std::function<std::string(instant)> evaluate;
-    std::shared_ptr<std::promise<std::string>> promise;
+    caller_handlers::text_responder respond;
 };
 
 using entry_event = std::variant<link_event, store_event, pending_call, state_query>;
@@ -73,10 +74,20 @@
 public:
     entry_daemon_implementation(const entry_settings& settings, process_identity self,
                                 std::unique_ptr<entry_core> core)
-        : settings_(settings), self_(std::move(self)), core_(std::move(core))
+        : settings_(settings), self_(std::move(self)), core_(std::move(core)),
+          gate_(std::make_shared<connection_gate>(
+              connection_limits::of_host(settings.memory_mb, settings.max_fds)))
     {
     }
 
+    ~entry_daemon_implementation() override
+    {
+        // Its thread may close connections of the HTTP server, which needs the server's event loop.
+        link_.reset();
+    }
+    entry_daemon_implementation(const entry_daemon_implementation&) = delete;
+    entry_daemon_implementation& operator=(const entry_daemon_implementation&) = delete;
+
     std::error_code open()
     {
         link_options link_settings;
@@ -101,9 +112,8 @@
                                     { events_.post(entry_event(std::move(event))); });
         store_adapter_ = std::make_unique<store_adapter>(*core_, *store_, settings_.entries);
         store_adapter_->register_self(self_);
-        auto server = caller_server::open(
-            {settings_.listen_http, settings_.http_threads, settings_.max_body_bytes},
-            make_server_callbacks());
+        auto server = caller_server::open({settings_.listen_http, settings_.max_body_bytes, gate_},
+                                          make_server_callbacks());
         if (!server)
             return server.error();
         server_ = std::move(server).value();
@@ -200,7 +210,7 @@
         if (request.action == caller_request::action_type::submit_new)
             request.job.id = core_->generate_job_id();
         const auto id = request.job.id;
-        waiting_callers_[call] = {id, std::move(pending.promise), now, request.job.service,
+        waiting_callers_[call] = {id, std::move(pending.respond), now, request.job.service,
                                   request.job.team};
         if (request.action == caller_request::action_type::query)
             return core_->on_query(now, call, id, request.wait);
@@ -215,10 +225,7 @@
         core_->on_submit(now, call, std::move(request.job), request.wait);
     }
 
-    void handle(const state_query& query)
-    {
-        query.promise->set_value(query.evaluate(process_clock::now()));
-    }
+    void handle(const state_query& query) { query.respond(query.evaluate(process_clock::now())); }
 
     /// Carries out the effects of the core's decisions.
     void apply_effects()
@@ -241,7 +248,7 @@
         const auto& caller = found->second;
         if (caller.measured && answered)
             record(caller, *answered);
-        caller.promise->set_value({caller.id, std::move(answered)});
+        caller.respond({caller.id, std::move(answered)});
         waiting_callers_.erase(found);
     }
 
@@ -249,7 +256,7 @@
     struct waiting_caller
     {
         std::string id;
-        std::shared_ptr<std::promise<caller_response>> promise;
+        std::function<void(caller_response)> respond;
         instant since;
         std::string service;
         std::string team;
@@ -280,53 +287,53 @@
     caller_handlers make_server_callbacks()
     {
         caller_handlers callbacks;
-        callbacks.handle_request = [this](caller_request request)
-        {
-            auto promise = std::make_shared<std::promise<caller_response>>();
-            auto answered = promise->get_future();
-            events_.post(entry_event(pending_call{std::move(request), std::move(promise)}));
-            return answered.get();
+        callbacks.handle_request = [this](caller_request request,
+                                          std::function<void(caller_response)> respond) {
+            events_.post(entry_event(pending_call{std::move(request), std::move(respond)}));
         };
         callbacks.ready = [this] { return ready_.load(); };
-        callbacks.metrics = [this]
+        callbacks.metrics = [this](caller_handlers::text_responder respond)
         {
-            return query_state(
+            query_state(
                 [this](instant)
                 {
                     return entry_metrics_text(*core_, link_->counters(), store_->call_count()) +
-                           levels_.metrics();
-                });
+                           client_refusals_text(*gate_) + levels_.metrics();
+                },
+                std::move(respond));
         };
-        callbacks.status = [this]
+        callbacks.status = [this](caller_handlers::text_responder respond)
         {
-            return query_state([this](instant now)
-                               { return entry_status_json(*core_, settings_, levels_, now); });
+            query_state([this](instant now)
+                        { return entry_status_json(*core_, settings_, levels_, now); },
+                        std::move(respond));
         };
-        callbacks.drain = [this]
+        callbacks.drain = [this](caller_handlers::text_responder respond)
         {
             query_state(
                 [this](instant now)
                 {
                     core_->drain(now);
                     return std::string();
-                });
+                },
+                std::move(respond));
         };
-        callbacks.describe_job = [this](const std::string& id)
-        { return query_state([this, id](instant) { return core_->describe(id); }); };
+        callbacks.describe_job =
+            [this](const std::string& id, caller_handlers::text_responder respond)
+        { query_state([this, id](instant) { return core_->describe(id); }, std::move(respond)); };
         return callbacks;
     }
 
-    std::string query_state(std::function<std::string(instant)> evaluate)
+    void query_state(std::function<std::string(instant)> evaluate,
+                     caller_handlers::text_responder respond)
     {
-        auto promise = std::make_shared<std::promise<std::string>>();
-        auto answered = promise->get_future();
-        events_.post(entry_event(state_query{std::move(evaluate), std::move(promise)}));
-        return answered.get();
+        events_.post(entry_event(state_query{std::move(evaluate), std::move(respond)}));
     }
 
     entry_settings settings_;
     process_identity self_;
     std::unique_ptr<entry_core> core_;
+    std::shared_ptr<connection_gate> gate_;
     mailbox<entry_event> events_;
     std::unique_ptr<link> link_;
     std::unique_ptr<store_client> store_;
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -59,6 +59,9 @@
 namespace
 {
 
+constexpr std::int64_t default_memory_mb = 256;
+constexpr std::int64_t default_max_fds = 4100;
+
 std::vector<peer_address> read_entries(yaml_reader& reader)
 {
     std::vector<peer_address> entries;
@@ -85,7 +88,8 @@
     yaml_reader reader(*root, file, "", errors);
     reader.allow_only({"name", "failure_domain", "listen_peers", "listen_http", "entries", "store",
                        "placement", "http_threads", "max_body_bytes", "record_window_s",
-                       "result_mb", "lease_ms", "silence_ms", "ejection", "log"});
+                       "result_mb", "lease_ms", "silence_ms", "ejection", "memory_mb", "max_fds",
+                       "log"});
     entry_settings settings;
     settings.name = reader.required_text("name");
     settings.failure_domain = reader.required_text("failure_domain");
@@ -94,13 +98,16 @@
     settings.entries = read_entries(reader);
     settings.store_addresses = reader.string_list("store");
     settings.placement = read_choice(reader, "placement", placements, "earliest_finish");
-    settings.http_threads = read_count(reader, "http_threads", 256, 4, 4096);
+    // Has no effect any more; files that contain it stay valid.
+    read_count(reader, "http_threads", 256, 4, 4096);
     settings.max_body_bytes = read_count(reader, "max_body_bytes", 4'194'304, 1024, 6'291'456);
     settings.record_window_s = read_count(reader, "record_window_s", 600, 10, 86'400);
     settings.result_mb = read_count(reader, "result_mb", 64, 1, 4096);
     settings.lease_ms = read_count(reader, "lease_ms", 2000, 200, 60'000);
     settings.silence_ms = read_count(reader, "silence_ms", 600, 100, 60'000);
     settings.ejection = reader.boolean("ejection", true);
+    settings.memory_mb = read_count(reader, "memory_mb", default_memory_mb, 32, 1'048'576);
+    settings.max_fds = read_count(reader, "max_fds", default_max_fds, 240, 1'048'576);
     settings.log = read_log(reader);
     if (settings.store_addresses.empty())
         reader.report_error("store", "at least one address of the key-value store is required");
@@ -124,7 +131,7 @@
     yaml_reader reader(*root, file, "", errors);
     reader.allow_only({"name", "failure_domain", "labels", "listen_peers", "listen_http", "entries",
                        "slots", "connections", "record_window_s", "record_mb",
-                       "announcement_lifetime_ms", "silence_ms", "log"});
+                       "announcement_lifetime_ms", "silence_ms", "memory_mb", "max_fds", "log"});
     agent_settings settings;
     settings.name = reader.required_text("name");
     settings.failure_domain = reader.required_text("failure_domain");
@@ -139,6 +146,8 @@
     settings.announcement_lifetime_ms =
         read_count(reader, "announcement_lifetime_ms", 3000, 100, 600'000);
     settings.silence_ms = read_count(reader, "silence_ms", 600, 100, 60'000);
+    settings.memory_mb = read_count(reader, "memory_mb", default_memory_mb, 32, 1'048'576);
+    settings.max_fds = read_count(reader, "max_fds", default_max_fds, 240, 1'048'576);
     settings.log = read_log(reader);
     if (settings.connections < settings.slots)
         reader.report_error("connections", "must not be less than slots");
