connection: at-most-once processes count what their peers' connections hold

The port for other processes accepted any number of connections, read each as long as bytes came before it parsed them, and accepted a frame of 8 MB from a connection that had not said who it is.

Accepted connections count against the budget of the process like those of leased entries, by the same decision (phase_of): before the first frame, with more than 64 KiB of an incomplete frame, or with as much unsent, the budget may close them. A first frame has 4 KiB at most, and at most 256 KiB are read before frames are parsed.

--- a/include/tarragonlock/connection/link.hpp
+++ b/include/tarragonlock/connection/link.hpp
@@ -12,6 +12,8 @@
 namespace tarragonlock
 {
 
+class connection_gate;
+
 /// Reasons why a link cannot be opened.
 enum class link_error
 {
@@ -52,6 +54,9 @@
     duration ack_delay = std::chrono::milliseconds(50);
     duration redial_interval = std::chrono::milliseconds(200);
     std::size_t max_queued_bytes = 64U << 20U;
+    /// Budget of the process; counts accepted connections by phase_of(). Without one the link has
+    /// its own.
+    std::shared_ptr<connection_gate> gate;
 };
 
 /// Counters that are exported on /metrics.
--- a/src/connection/framed_connection.cpp
+++ b/src/connection/framed_connection.cpp
@@ -17,7 +17,12 @@
 constexpr std::size_t length_bytes = 4;
 constexpr std::size_t header_bytes = length_bytes + 1 + 4;
 constexpr std::size_t max_frame_bytes = max_message_bytes + header_bytes;
+/// Longest first frame, which names the process that sends it.
+constexpr std::size_t max_first_frame_bytes = 4U << 10U;
 constexpr std::size_t read_chunk_bytes = 64U << 10U;
+/// Reads of a socket in a row, so that a peer that sends on and on doesn't fill the memory before
+/// its frames are parsed.
+constexpr int max_reads = 4;
 
 std::uint32_t load_uint32(const char* bytes)
 {
@@ -68,13 +73,15 @@
         bytes_sent_ += static_cast<std::uint64_t>(sent);
         output_.erase(0, static_cast<std::size_t>(sent));
     }
+    if (output_.capacity() > read_chunk_bytes)
+        output_.shrink_to_fit();
     return true;
 }
 
 bool framed_connection::read(std::vector<frame>& frames, instant now)
 {
     std::array<char, read_chunk_bytes> chunk{};
-    while (true)
+    for (int reads = 0; reads < max_reads; ++reads)
     {
         const auto received = recv(socket_.fd(), chunk.data(), chunk.size(), 0);
         if (received == 0)
@@ -88,6 +95,7 @@
         bytes_received_ += static_cast<std::uint64_t>(received);
         input_.append(chunk.data(), static_cast<std::size_t>(received));
     }
+    return parse_frames(frames, now);
 }
 
 bool framed_connection::parse_frames(std::vector<frame>& frames, instant now)
@@ -96,7 +104,8 @@
     while (input_.size() - at >= length_bytes)
     {
         const std::size_t length = load_uint32(input_.data() + at);
-        if (length < header_bytes - length_bytes || length > max_frame_bytes)
+        if (length < header_bytes - length_bytes ||
+            length > (peer.empty() ? max_first_frame_bytes : max_frame_bytes))
             return false;
         if (input_.size() - at - length_bytes < length)
             break;
@@ -121,6 +130,8 @@
         at += length_bytes + length;
     }
     input_.erase(0, at);
+    if (input_.empty() && input_.capacity() > read_chunk_bytes)
+        input_.shrink_to_fit();
     return true;
 }
 
--- a/src/connection/framed_connection.hpp
+++ b/src/connection/framed_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "connection/socket.hpp"
 #include "tarragonlock/common/time.hpp"
+#include "tarragonlock/connection/connection_budget.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -39,7 +40,7 @@
     void queue(frame_kind kind, std::string_view payload, instant now);
     /// Writes as much as the socket accepts. @return whether the connection is still usable
     bool write();
-    /// Reads all bytes that have arrived.
+    /// Reads what has arrived, at most a few hundred kilobytes at once.
     /// @param frames  receives complete hello and data frames
     /// @return whether the connection is still usable
     bool read(std::vector<frame>& frames, instant now);
@@ -50,6 +51,9 @@
     bool is_silent(instant now, duration limit) const;
     bool wants_write() const { return !output_.empty(); }
     std::size_t queued_bytes() const { return output_.size(); }
+    /// @return what the connection holds
+    channel_load load() const { return {!peer.empty(), input_.size(), output_.size()}; }
+    std::uint64_t allocated_bytes() const { return input_.capacity() + output_.capacity(); }
     int fd() const { return socket_.fd(); }
     bool dialled() const { return dialled_; }
     instant opened() const { return opened_; }
@@ -58,6 +62,8 @@
 
     /// Name of the peer; empty until its hello has been received.
     std::string peer;
+    /// Identifies an accepted connection in the budget of the process.
+    std::optional<std::uint64_t> client;
 
 private:
     bool parse_frames(std::vector<frame>& frames, instant now);
--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -1,5 +1,6 @@
 #include "tarragonlock/connection/link.hpp"
 
+#include "connection/connection_gate.hpp"
 #include "connection/framed_connection.hpp"
 #include "tarragonlock/common/mailbox.hpp"
 #include "tarragonlock/connection/codec.hpp"
@@ -47,11 +48,17 @@
     std::string address;
 };
 
+/// Closes the connections that the budget of the process has removed.
+struct close_refused_command
+{
+};
+
 struct stop_command
 {
 };
 
-using command = std::variant<keep_connected_command, outgoing_message, stop_command>;
+using command =
+    std::variant<keep_connected_command, outgoing_message, close_refused_command, stop_command>;
 
 /// Implementation of link with epoll, on a thread that owns all sockets.
 class epoll_link : public link
@@ -59,6 +66,8 @@
 public:
     epoll_link(link_options options, event_handler on_event, socket_handle listener)
         : options_(std::move(options)), on_event_(std::move(on_event)),
+          gate_(options_.gate ? options_.gate
+                              : std::make_shared<connection_gate>(connection_limits{})),
           listener_(std::move(listener)), epoll_(epoll_create1(EPOLL_CLOEXEC)),
           wakeup_event_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     {
@@ -71,6 +80,11 @@
     {
         post(stop_command{});
         thread_.join();
+        for (const auto& [fd, connection] : connections_)
+        {
+            if (connection.client)
+                gate_->close(*connection.client);
+        }
     }
     epoll_link(const epoll_link&) = delete;
     epoll_link& operator=(const epoll_link&) = delete;
@@ -151,6 +165,9 @@
         const bool usable = connection.read(frames, now) && (event.events & EPOLLERR) == 0U;
         bytes_received_ += connection.bytes_received() - received;
         const int fd = event.data.fd;
+        if (connection.client && connection.bytes_received() > received)
+            gate_->on_progress(*connection.client);
+        account(connection);
         for (auto& item : frames)
         {
             if (!connections_.contains(fd) || !handle_frame(fd, item, now))
@@ -173,10 +190,21 @@
         const int fd = socket.fd();
         auto& connection =
             connections_.try_emplace(fd, std::move(socket), dialled, now).first->second;
+        if (!dialled)
+            connection.client =
+                gate_->open([this](refusal_cause) { post(close_refused_command{}); });
         connection.queue(frame_kind::hello, encode_hello({options_.self, options_.listen}), now);
         watch(fd, EPOLLIN | EPOLLOUT);
     }
 
+    /// Reports to the budget what an accepted connection holds.
+    void account(const framed_connection& connection)
+    {
+        if (connection.client)
+            gate_->update(*connection.client, phase_of(connection.load()),
+                          sizeof(connection) + connection.allocated_bytes());
+    }
+
     /// Processes one complete frame. @return whether the connection is still usable
     bool handle_frame(int fd, const frame& item, instant now)
     {
@@ -221,6 +249,8 @@
         if (found == connections_.end())
             return;
         const auto name = found->second.peer;
+        if (found->second.client)
+            gate_->close(*found->second.client);
         connections_.erase(found);
         for (auto& [dialled_name, dialled_fd] : dialled_fds_)
         {
@@ -235,6 +265,18 @@
         on_event_(peer_lost{name});
     }
 
+    void close_refused()
+    {
+        std::vector<int> refused;
+        for (const auto& [fd, connection] : connections_)
+        {
+            if (connection.client && !gate_->is_open(*connection.client))
+                refused.push_back(fd);
+        }
+        for (const int fd : refused)
+            close_connection(fd);
+    }
+
     void run_commands(instant now)
     {
         for (auto& item : commands_.drain())
@@ -248,6 +290,8 @@
             }
             else if (auto* outgoing = std::get_if<outgoing_message>(&item))
                 transmit(*outgoing, now);
+            else if (std::holds_alternative<close_refused_command>(item))
+                close_refused();
         }
     }
 
@@ -283,6 +327,7 @@
         bytes_sent_ += connection.bytes_sent() - before;
         if (!usable)
             return close_connection(fd);
+        account(connection);
         watch(fd, connection.wants_write() ? EPOLLIN | EPOLLOUT : EPOLLIN);
     }
 
@@ -350,6 +395,7 @@
 
     link_options options_;
     event_handler on_event_;
+    std::shared_ptr<connection_gate> gate_;
     socket_handle listener_;
     socket_handle epoll_;
     socket_handle wakeup_event_;
--- a/src/process/agent_daemon.cpp
+++ b/src/process/agent_daemon.cpp
@@ -112,6 +112,7 @@
         options.self = {settings_.name, incarnation_};
         options.listen = settings_.listen_peers;
         options.silence_limit = std::chrono::milliseconds(settings_.silence_ms);
+        options.gate = gate_;
         auto opened = link::open(options, [this](link_event event)
                                  { events_.post(agent_event(std::move(event))); });
         if (!opened)
--- a/src/process/entry_daemon.cpp
+++ b/src/process/entry_daemon.cpp
@@ -94,6 +94,7 @@
         link_settings.self = self_;
         link_settings.listen = settings_.listen_peers;
         link_settings.silence_limit = std::chrono::milliseconds(settings_.silence_ms);
+        link_settings.gate = gate_;
         auto opened = link::open(link_settings, [this](link_event event)
                                  { events_.post(entry_event(std::move(event))); });
         if (!opened)
