process: a backend server's label does not stand for its service

Selectors of workers in the declarations of at-most-once jobs could not name a worker's service, and "service=x" matched any backend server that announces a label of that name. The agent sets the label "service" as it sets "worker" and "failure_domain".

Unit test labels_set_by_the_agent_go_before_those_announced: two checks failed before.

--- a/src/process/agent_core_reports.cpp
+++ b/src/process/agent_core_reports.cpp
@@ -143,6 +143,8 @@
     announcement.service = backend_.service;
     announcement.labels = options_.labels;
     announcement.labels.insert(backend_.labels.begin(), backend_.labels.end());
+    // What the system knows goes before labels of the same name.
+    announcement.labels.insert_or_assign("service", backend_.service);
     announcement.labels.insert_or_assign("worker", options_.name);
     announcement.labels.insert_or_assign("failure_domain", options_.failure_domain);
     announcement.failure_domain = options_.failure_domain;
--- a/tests/process/agent_core_test.cpp
+++ b/tests/process/agent_core_test.cpp
@@ -1,4 +1,5 @@
 #include "tarragonlock/process/agent_core.hpp"
+#include "tarragonlock/version/selector.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -244,4 +245,27 @@
     BOOST_TEST(offered_to_a == 0U);
 }
 
+// Guards against selectors of workers that a backend server's own labels satisfy in place of what
+// the system knows of it.
+BOOST_AUTO_TEST_CASE(labels_set_by_the_agent_go_before_those_announced)
+{
+    fixture setup;
+    setup.agent->on_backend_announced(
+        setup.now,
+        {"clearing", {{"service", "other"}, {"worker", "x"}, {"rack", "r1"}}, "127.0.0.1:1", 2});
+    label_set announced;
+    for (const auto& effect : setup.agent->take_effects())
+    {
+        if (const auto* message = std::get_if<outgoing_message>(&effect))
+        {
+            if (const auto* body = std::get_if<agent_announcement>(&message->body))
+                announced = body->labels;
+        }
+    }
+    BOOST_TEST(announced["service"] == "clearing");
+    BOOST_TEST(announced["worker"] == "worker-0");
+    BOOST_TEST(announced["rack"] == "r1");
+    BOOST_TEST(selector::parse("service=clearing").value().matches(announced));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
