process: names that callers send are bounded and escaped in the service levels

Callers choose the names of teams, and an answer to an unknown service counts as well, so each name that was ever sent kept some kilobytes and a row of the status page for the life of the process; and a name with a quotation mark or a line end could write other series into the metrics. 1,024 keys are counted apart, the rest together under empty names, and label values are escaped.

--- a/include/tarragonlock/process/service_levels.hpp
+++ b/include/tarragonlock/process/service_levels.hpp
@@ -43,7 +43,7 @@
 };
 
 /// Response times and outcomes by service, team and urgency, as histograms and as counts per
-/// minute.
+/// minute. Answers of keys beyond some thousand are counted under an empty service and team.
 class service_levels
 {
 public:
--- a/src/process/service_levels.cpp
+++ b/src/process/service_levels.cpp
@@ -1,5 +1,6 @@
 #include "tarragonlock/process/service_levels.hpp"
 
+#include <absl/strings/str_replace.h>
 #include <boost/histogram.hpp>
 #include <spdlog/fmt/fmt.h>
 
@@ -19,6 +20,9 @@
 constexpr double max_response_ms = 600'000.0;
 constexpr std::size_t long_window_minutes = 60;
 constexpr std::size_t short_window_minutes = 5;
+/// Most keys that are counted apart; services, teams and urgencies of the largest installations
+/// have some hundred combinations. Callers choose the names of teams.
+constexpr std::size_t max_levels = 1024;
 
 auto make_histogram()
 {
@@ -59,6 +63,12 @@
     double sum_ms = 0.0;
 };
 
+/// @return the value of a label in the Prometheus text format
+std::string escaped(const std::string& value)
+{
+    return absl::StrReplaceAll(value, {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}});
+}
+
 std::int64_t minute_of(instant now)
 {
     return std::chrono::duration_cast<std::chrono::minutes>(now.time_since_epoch()).count();
@@ -93,7 +103,8 @@
                             const service_objective& objective, outcome answer_outcome,
                             std::chrono::milliseconds response_time)
 {
-    auto& counted = impl_->levels[key];
+    const bool apart = impl_->levels.contains(key) || impl_->levels.size() < max_levels;
+    auto& counted = impl_->levels[apart ? key : service_level_key{"", "", key.urgency}];
     counted.objective = objective;
     const auto milliseconds = static_cast<double>(response_time.count());
     counted.times(std::max(milliseconds, min_response_ms));
@@ -127,8 +138,8 @@
     std::string answers = "# TYPE tarragonlock_answers_total counter\n";
     for (const auto& [key, counted] : impl_->levels)
     {
-        const auto labels = fmt::format("service=\"{}\",team=\"{}\",urgency=\"{}\"", key.service,
-                                        key.team, key.urgency);
+        const auto labels = fmt::format("service=\"{}\",team=\"{}\",urgency=\"{}\"",
+                                        escaped(key.service), escaped(key.team), key.urgency);
         double cumulative_count = 0;
         for (const auto& bin : bh::indexed(counted.times))
         {
