--- a/src/connection/caller_server.cpp
+++ b/src/connection/caller_server.cpp
@@ -183,7 +183,7 @@
     void job_status(http_request_id id, const http_request&, std::string_view job)
     {
         handlers_.describe_job(std::string(job),
-                               [this, id](std::string text) {
+                               [this, id](const std::string& text) {
                                    server_->respond(id, {200, text + "\n", "text/plain", 0});
                                });
     }
