connection: a stopping process does not wait for ever for a client's request

A request for metrics that an agent of at-most-once jobs had received, but not handled when its event loop ended, was never answered, and the stop of its HTTP server waited for the answer; read in the code, not seen. Stopping now ends after the longest time of a shutdown (entry) or a second (agent).

--- a/include/tarragonlock/connection/caller_server.hpp
+++ b/include/tarragonlock/connection/caller_server.hpp
@@ -76,7 +76,8 @@
     caller_server& operator=(const caller_server&) = delete;
 
     /// Accepts no new connections and waits for requests in progress.
-    void stop();
+    /// @param max_wait  time after which requests without a response are dropped
+    void stop(duration max_wait);
 
 private:
     class implementation;
--- a/src/connection/caller_server.cpp
+++ b/src/connection/caller_server.cpp
@@ -84,7 +84,7 @@
         server_ = std::move(opened).value();
         return boost::outcome_v2::success();
     }
-    void stop() { server_->stop(); }
+    void stop(duration max_wait) { server_->stop(max_wait); }
 
 private:
     using route = http_route<implementation, http_request_id>;
@@ -233,9 +233,9 @@
     return std::unique_ptr<caller_server>(new caller_server(std::move(impl)));
 }
 
-void caller_server::stop()
+void caller_server::stop(duration max_wait)
 {
-    impl_->stop();
+    impl_->stop(max_wait);
 }
 
 } // namespace tarragonlock
--- a/src/connection/threaded_http_server.cpp
+++ b/src/connection/threaded_http_server.cpp
@@ -59,33 +59,33 @@
     server_->abandon(request);
 }
 
-void threaded_http_server::stop()
+void threaded_http_server::stop(duration max_wait)
 {
     if (!thread_.joinable())
         return;
     boost::asio::post(loop_,
-                      [this]
+                      [this, deadline = process_clock::now() + max_wait]
                       {
                           server_->stop_accepting();
                           server_->close_after_responses();
-                          stop_when_idle();
+                          stop_when_idle(deadline);
                       });
     thread_.join();
 }
 
-void threaded_http_server::stop_when_idle()
+void threaded_http_server::stop_when_idle(instant deadline)
 {
-    if (server_->busy_connections() == 0)
+    if (server_->busy_connections() == 0 || process_clock::now() >= deadline)
     {
         loop_.stop();
         return;
     }
     stop_timer_.expires_after(stop_poll_interval);
     stop_timer_.async_wait(
-        [this](boost::system::error_code error)
+        [this, deadline](boost::system::error_code error)
         {
             if (!error)
-                stop_when_idle();
+                stop_when_idle(deadline);
         });
 }
 
--- a/src/connection/threaded_http_server.hpp
+++ b/src/connection/threaded_http_server.hpp
@@ -33,11 +33,12 @@
     /// Closes the connection of a request without a response; only within on_request.
     void abandon(http_request_id request);
     /// Accepts no new connections and waits for the responses to the requests in progress.
-    void stop();
+    /// @param max_wait  time after which requests without a response are dropped
+    void stop(duration max_wait);
 
 private:
     threaded_http_server() = default;
-    void stop_when_idle();
+    void stop_when_idle(instant deadline);
 
     boost::asio::io_context loop_;
     boost::asio::steady_timer stop_timer_{loop_};
--- a/src/process/agent_daemon.cpp
+++ b/src/process/agent_daemon.cpp
@@ -25,6 +25,8 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds(10);
 constexpr auto max_shutdown_time = std::chrono::seconds(60);
+/// Time for clients to read responses before the process ends.
+constexpr auto max_response_wait = std::chrono::seconds(1);
 constexpr std::size_t max_announcement_bytes = 64U << 10U;
 /// Most values of an announcement; a backend server has a few dozen labels at most.
 constexpr std::size_t max_announcement_values = 1000;
@@ -148,7 +150,8 @@
         while (process_clock::now() - drain_start < max_shutdown_time &&
                (process_clock::now() - drain_start < min_shutdown_time || !core_.idle()))
             run_once();
-        server_->stop();
+        // A request for metrics that came last is not answered any more.
+        server_->stop(max_response_wait);
         log_event(log_level::info, "stopped");
     }
 
--- a/src/process/entry_daemon.cpp
+++ b/src/process/entry_daemon.cpp
@@ -175,7 +175,7 @@
         std::thread server_stopper(
             [&]
             {
-                server_->stop();
+                server_->stop(max_shutdown_time);
                 server_stopped = true;
             });
         while (!server_stopped || !core_->idle())
