connection: the HTTP thread starts when its server may be used

A request that arrived while an at-most-once process opened its port could be handled before the process had stored the server that answers it, and would have ended the process. Found in the read-through, not seen. Opening the port and starting the thread are two steps now. fleet_test.py passes.

--- a/src/connection/caller_server.cpp
+++ b/src/connection/caller_server.cpp
@@ -82,6 +82,7 @@
         if (!opened)
             return opened.error();
         server_ = std::move(opened).value();
+        server_->start();
         return boost::outcome_v2::success();
     }
     void stop(duration max_wait) { server_->stop(max_wait); }
--- a/src/connection/threaded_http_server.cpp
+++ b/src/connection/threaded_http_server.cpp
@@ -27,13 +27,17 @@
     if (!server)
         return server.error();
     opened->server_ = std::move(server).value();
-    opened->thread_ = std::thread(
-        [&loop = opened->loop_]
+    return opened;
+}
+
+void threaded_http_server::start()
+{
+    thread_ = std::thread(
+        [this]
         {
-            while (!loop.stopped())
-                guarded_call("http event", [&] { loop.run(); });
+            while (!loop_.stopped())
+                guarded_call("http event", [this] { loop_.run(); });
         });
-    return opened;
 }
 
 threaded_http_server::~threaded_http_server()
--- a/src/connection/threaded_http_server.hpp
+++ b/src/connection/threaded_http_server.hpp
@@ -17,7 +17,7 @@
 public:
     using request_handler = std::function<void(http_request_id, const http_request&)>;
 
-    /// Opens the listening socket and starts the thread.
+    /// Opens the listening socket. Requests are handled after start().
     /// @param on_request  called from the server's thread; must not block
     /// @return the server, or the system's error
     static result<std::unique_ptr<threaded_http_server>> open(loop_http_server::options settings,
@@ -26,6 +26,8 @@
     threaded_http_server(const threaded_http_server&) = delete;
     threaded_http_server& operator=(const threaded_http_server&) = delete;
 
+    /// Starts the thread; separate from open(), so that handlers may use the server.
+    void start();
     /// Sends the response to a request; does nothing when its connection is closed. Any thread.
     void respond(http_request_id request, http_response reply);
     /// As loop_http_server::reserve(); only within on_request.
--- a/src/process/agent_daemon.cpp
+++ b/src/process/agent_daemon.cpp
@@ -132,6 +132,7 @@
         if (!server)
             return server.error();
         server_ = std::move(server).value();
+        server_->start();
         return {};
     }
 
