tests, connection: shared crowds stand once; plainer comments

Both crowd tests chose and ran their crowds by code of their own; crowd_checks.py does it for both. Three comments say what happens instead of who knows it.

--- a/include/tarragonlock/connection/connection_budget.hpp
+++ b/include/tarragonlock/connection/connection_budget.hpp
@@ -48,9 +48,8 @@
 };
 
 /// Decides as what a channel counts. Load pattern: clients that imitate a process of the system,
-/// and then stop inside a long frame or read nothing. Processes of the system do neither for long,
-/// so the budget never closes their channels but for a lack of memory that clients alone don't
-/// explain.
+/// and then stop inside a long frame or read nothing. Processes of the system hold little at a
+/// channel, or for a short time, so that others are closed before theirs.
 /// @return receiving or sending, which the budget may close, or serving
 connection_phase phase_of(const channel_load& load);
 
--- a/src/connection/http_session.cpp
+++ b/src/connection/http_session.cpp
@@ -161,13 +161,13 @@
     return true;
 }
 
-/// Asks the client for the body, for which it waits. Without an answer it would send it later.
+/// Answers a client that holds its body back until it is asked for it.
 void http_session::send_continue()
 {
     constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
     const auto sent =
         ::send(socket_.native_handle(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-    // After a part of it, no response could be told apart from the rest.
+    // After a part of it, the client would read the beginning of its response as the rest.
     if (sent > 0 && static_cast<std::size_t>(sent) < text.size())
         close();
 }
--- a/tests/process/client_crowds_at_most_once_test.py
+++ b/tests/process/client_crowds_at_most_once_test.py
@@ -9,7 +9,7 @@
 import tempfile
 
 from crowd_checks import (BODY_BYTES, CROWD, ENDLESS_BYTES, FILE_FDS, MAX_FDS, MEMORY_MB, LimitedProcesses,
-                          failures, http_crowds, run_crowd)
+                          failures, http_crowds, run_crowds)
 from crowd_clients import whole
 from fleet_helpers import BUILD, ROOT, call
 from leased_fleet_test import eventually
@@ -62,7 +62,7 @@
         return process.wait(timeout=30)
 
     def restart(self):
-        # With the store: an entry and an agent that are both new can't tell whether a job has run.
+        # With the store: when all processes that may know of a job are new, its outcome is unknown.
         self.stop()
         self.spawn("store", [BUILD / "standin_store", "--listen", STORE])
         for role in ("entry", "agent"):
@@ -136,10 +136,7 @@
     with tempfile.TemporaryDirectory() as folder:
         fleet = LimitedFleet(folder)
         try:
-            for number, (name, requests) in enumerate(CROWDS.items()):
-                if len(sys.argv) > 1 and name not in sys.argv[1:]:
-                    continue
-                run_crowd(fleet, name, requests(), 1000 + 10 * number)
+            run_crowds(fleet, CROWDS, sys.argv[1:])
             if len(sys.argv) == 1:
                 fleet.restart()
                 for role in ("entry", "agent"):
--- a/tests/process/client_crowds_test.py
+++ b/tests/process/client_crowds_test.py
@@ -10,8 +10,8 @@
 import sys
 import tempfile
 
-from crowd_checks import (BODY_BYTES, CROWD, ENDLESS_CROWD, FILE_FDS, MAX_FDS, MEMORY_MB, LimitedProcesses, check_process,
-                          failures, http_crowds, run_crowd)
+from crowd_checks import (BODY_BYTES, CROWD, ENDLESS_CROWD, FILE_FDS, MAX_FDS, MEMORY_MB, LimitedProcesses,
+                          check_process, connections_at, failures, http_crowds, run_crowds)
 from crowd_clients import Crowd, whole
 from leased_fleet_test import BASE_PORT, HOSTS, PEER_PORT, Fleet, call, eventually, job_request
 from leased_processes import PROGRAM
@@ -34,6 +34,7 @@
          (METRICS, "GET", "/metrics"), (MISDIRECTED, "PUT", "/-/instances/i-0"),
          (ANNOUNCEMENTS, "PUT", "/-/instances/i-0"), (AGENT_METRICS, "GET", "/metrics")]
 
+
 class LimitedFleet(LimitedProcesses, Fleet):
     """One entry and one agent with low limits, each started anew for each check."""
 
@@ -70,12 +71,6 @@
         return call(CALLERS, "POST", path, body) == (200, {"state": "completed"})
 
 
-def at_every_door(request):
-    """The same crowd at every door; request(method, path) returns the pieces of one connection."""
-    return [(address, request(method, path.format(0x7000 + number)))
-            for number in range(CROWD) for address, method, path in DOORS]
-
-
 VALUES = b",".join([b"[]"] * (BODY_BYTES // 3 - 100))
 TINY_VALUES = JOB_START + b'{"count":1,"after":[' + VALUES + b"]}]}"
 STEPS = b",".join([b'{"count":1}'] * (BODY_BYTES // 12 - 10))
@@ -107,10 +102,10 @@
 
 CROWDS = {
     **http_crowds(DOORS),
-    "tiny values": lambda: at_every_door(lambda m, p: whole(m, p, TINY_VALUES)),
+    "tiny values": lambda: connections_at(DOORS, lambda m, p: whole(m, p, TINY_VALUES)),
     "tiny values that stop short":
-        lambda: at_every_door(lambda m, p: whole(m, p, TINY_VALUES, 10)),
-    "long chains of steps": lambda: at_every_door(lambda m, p: whole(m, p, LONG_CHAIN)),
+        lambda: connections_at(DOORS, lambda m, p: whole(m, p, TINY_VALUES, 10)),
+    "long chains of steps": lambda: connections_at(DOORS, lambda m, p: whole(m, p, LONG_CHAIN)),
     "jobs of very many tasks": lambda: [(CALLERS, wide_job(0x5000 + i)) for i in range(4)],
     "frames that stop short": lambda: [(PEERS, LONG_FRAME) for _ in range(CROWD)],
     "frames of agents that stop short":
@@ -139,9 +134,7 @@
     with tempfile.TemporaryDirectory() as folder:
         fleet = LimitedFleet(folder)
         try:
-            for number, (name, requests) in enumerate(CROWDS.items()):
-                if len(sys.argv) == 1 or name in sys.argv[1:]:
-                    run_crowd(fleet, name, requests(), 1000 + 10 * number)
+            run_crowds(fleet, CROWDS, sys.argv[1:])
             check_ready_while_full(fleet)
         finally:
             fleet.stop()
--- a/tests/process/crowd_checks.py
+++ b/tests/process/crowd_checks.py
@@ -94,18 +94,29 @@
         wait_served(fleet, number + 1, f"{name}, a job is run afterwards")
 
 
-def http_crowds(doors):
-    """Returns crowds by name, each with the same connections at every HTTP door.
+def run_crowds(fleet, crowds, names):
+    """Runs crowds, given as functions by name; only those with these names, if there are any."""
+    for number, (name, requests) in enumerate(crowds.items()):
+        if not names or name in names:
+            run_crowd(fleet, name, requests(), 1000 + 10 * number)
+
+
+def connections_at(doors, request, count=CROWD):
+    """Returns the same connections for every door; request(method, path) returns the pieces of one.
 
     doors: address, method and path of a request; a number is put into the path
     """
+    return [(address, request(method, path.format(0x7000 + number)))
+            for number in range(count) for address, method, path in doors]
+
+
+def http_crowds(doors):
+    """Returns crowds by name, each at every HTTP door."""
     def at_every_door(request):
-        return [(address, request(method, path.format(0x7000 + number)))
-                for number in range(CROWD) for address, method, path in doors]
+        return connections_at(doors, request)
 
     def endless(request):
-        return [(address, request(method, path.format(0x7000 + number)))
-                for number in range(ENDLESS_CROWD) for address, method, path in doors]
+        return connections_at(doors, request, ENDLESS_CROWD)
 
     return {
         "whole bodies": lambda: at_every_door(lambda m, p: whole(m, p, BODY)),
